A new session's lease counts from its start, not from the last report before it

Ruled out: late launches (none was unanswered) and the moves between shards (none open). Scenario new-session-seen-by-a-probe fails before, passes after.

--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -336,6 +336,9 @@
                 log.info("worker %s lost session %d", worker.name, worker.session)
                 self._lose(worker)
             worker.session = report.session
+            # A session has its full lease from its start, whether its reports are answered or not.
+            # Judged by the session before, its tasks were taken for lost while they ran.
+            worker.answered_us = max(worker.answered_us, now_us)
         elif worker.lost and any(t.state != m.EXITED for t in report.tasks):
             log.error("worker %s is back in session %d, thought lost", worker.name, report.session)
         worker.lost = False
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -231,6 +231,11 @@
         for worker in self._workers(args):
             worker.cut_until_us = self.w().now_us + int(float(args[1]) * US)
 
+    def on_mute(self, args: list[str], named: dict[str, Any]) -> None:
+        """mute WORKER S: its reports are lost, while direct commands reach it."""
+        for worker in self._workers(args):
+            worker.mute_until_us = self.w().now_us + int(float(args[1]) * US)
+
     def on_hang(self, args: list[str], named: dict[str, Any]) -> None:
         for worker in self._workers(args):
             worker.hung_until_us = self.w().now_us + int(float(args[1]) * US)
--- a/tests/world.py
+++ b/tests/world.py
@@ -214,6 +214,7 @@
         self.dead = False
         self.cut_until_us = 0
         self.hung_until_us = 0
+        self.mute_until_us = 0
         self.busy = False
         self.changed = True
         self.last_report_us = 0
@@ -300,7 +301,7 @@
 
         world.after(4 * US, timeout)
         report = self.report()
-        if world.now_us >= self.cut_until_us:
+        if world.now_us >= max(self.cut_until_us, self.mute_until_us):
             node = world.hosts[self.node]
             world.after(world.latency(), lambda: node.worker_reports(report, answer))
 
