--- /dev/null
+++ b/quinceslip/coordination/commands.py
@@ -0,0 +1,148 @@
+"""What the workers of a shard are told: answers to reports, direct commands, probes.
+
+Nothing is reaped while a direct launch of it is unanswered: the worker would have forgotten the
+attempt and would start it again.
+"""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from quinceslip.coordination.context import SECOND
+from quinceslip.coordination.effects import NOT_SENT
+from quinceslip.coordination.recording import Recorder
+from quinceslip.coordination.state import Attempt, ShardState, Worker
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records
+
+log = logging.getLogger(__name__)
+
+
+class Commander:
+    def __init__(self, state: ShardState, recorder: Recorder,
+                 reported: Callable[[m.WorkerReport, bool], object]) -> None:
+        self.state = state
+        self.ctx = state.ctx
+        self.recorder = recorder
+        self.reported = reported
+
+    def orders(self, worker: Worker) -> list[m.Command]:
+        """What the answer to a report says; repeated until a report shows it happened."""
+        state = self.state
+        halts: list[m.Command] = []
+        launches: list[m.Command] = []
+        reaps: list[m.Command] = []
+        for name, attempt in list(worker.attempts.items()):
+            if not attempt.seen:
+                if attempt.halting:
+                    if state.settled(worker, attempt):
+                        # Launches in answers to reports are settled by the next report.
+                        state.requeue(worker, attempt)
+                        state.detach(worker, name)
+                        continue
+                    # A direct launch may still arrive: let the attempt exist, ended.
+                    launches += [m.launch(name, attempt.number), m.halt(name, attempt.number, 0.0)]
+                    state.raise_term()
+                else:
+                    launches.append(m.launch(name, attempt.number))
+                    attempt.told = True
+            elif not attempt.ended:
+                if attempt.halting and (attempt.state != m.FLUSHING or attempt.grace_s == 0):
+                    halts.append(m.halt(name, attempt.number, attempt.grace_s))
+                    attempt.told = True
+            elif self.recorder.recorded(attempt):
+                if state.settled(worker, attempt):
+                    reaps.append(m.reap(name, attempt.number))
+                else:
+                    state.raise_term()
+        for name, task in worker.reported.items():
+            known = worker.attempts.get(name)
+            if known is not None and known.number == task.attempt:
+                continue
+            if task.state == m.EXITED:
+                if worker.confirmed:
+                    reaps.append(m.reap(name, task.attempt))
+            elif self._unwanted(worker, name):
+                halts.append(m.halt(name, task.attempt, 0.0))
+        return halts + launches + reaps
+
+    def _unwanted(self, worker: Worker, name: str) -> bool:
+        uid, _, number = name.rpartition("/")
+        job = self.ctx.view.job(uid)
+        if job is None:
+            return False
+        if records.is_final(job):
+            return True
+        chunk = self.state.chunks.get(uid)
+        if chunk is None or not number.isdigit():
+            return False
+        other = chunk.attempts.get(int(number))
+        return int(number) in chunk.done or (other is not None and other.worker != worker.name)
+
+    def send_direct(self) -> None:
+        """Tell workers at once what cannot wait for their next report."""
+        state = self.state
+        if not state.to_tell or not state.ownership.entitled():
+            return
+        for name in list(state.to_tell):
+            worker = state.workers.get(name)
+            if worker is None or worker.lost:
+                state.to_tell.discard(name)
+                continue
+            # A worker that does not answer would hold a thread until the time limit, and healthy
+            # ones would wait behind it; it learns from the answer to its next report.
+            if worker.busy or worker.deaf or not worker.endpoint or not worker.confirmed:
+                continue
+            state.to_tell.discard(name)
+            fresh = [a for a in worker.attempts.values() if not a.told and not a.ended]
+            halts = [a for a in fresh if a.halting and a.seen and a.state != m.FLUSHING]
+            launches = [a for a in fresh if not a.halting and not a.seen]
+            if halts or launches:
+                self._direct(worker, halts, launches)
+
+    def _direct(self, worker: Worker, halts: list[Attempt], launches: list[Attempt]) -> None:
+        commands = [m.halt(a.name, a.number, a.grace_s) for a in halts]
+        commands += [m.launch(a.name, a.number) for a in launches]
+        for attempt in halts + launches:
+            attempt.told = True
+        for attempt in launches:
+            attempt.direct = True
+        worker.busy = True
+        term, session = self.state.term, worker.session
+
+        def done(status: int, body: bytes) -> None:
+            worker.busy = False
+            for attempt in launches:
+                attempt.direct = False
+                if status not in (NOT_SENT, 200, 409, 400):
+                    attempt.unanswered_term = term
+            if status in (200, 409) and self.state.workers.get(worker.name) is worker:
+                self._direct_report(worker, body)
+
+        self.ctx.call(worker.endpoint, "POST", m.PATH_DO, m.DirectCommands(term, session, commands), done)
+
+    def probe(self, worker: Worker) -> None:
+        """Ask a silent worker itself: it may only be between two nodes."""
+        worker.probing = True
+
+        def done(status: int, body: bytes) -> None:
+            worker.probing = False
+            if status != 200:
+                worker.deaf += 1
+            elif self.state.workers.get(worker.name) is worker:
+                self._direct_report(worker, body)
+                if worker.token < self.state.term and not worker.busy and self.state.ownership.entitled():
+                    # An empty command shows it our term now; its report would take seconds.
+                    self._direct(worker, [], [])
+
+        self.ctx.call(worker.endpoint, "GET", m.PATH_INSPECT, None, done, timeout_us=SECOND)
+
+    def _direct_report(self, worker: Worker, body: bytes) -> None:
+        try:
+            report = msgspec.json.decode(body, type=m.WorkerReport)
+        except msgspec.DecodeError as error:
+            log.error("worker %s answered nonsense: %s", worker.name, error)
+            return
+        if report.worker == worker.name:
+            self.reported(report, True)
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from quinceslip.coordination.effects import UNKNOWN, Answer, Call, Effect, Reply
+from quinceslip.coordination.effects import UNKNOWN, Answer, Call, Effect, Reply, Urgency
 from quinceslip.protocol import messages
-from quinceslip.protocol.settings import Settings, Tuning
+from quinceslip.protocol.settings import Settings, Team, Tuning
 from quinceslip.storage.records import View
 
 log = logging.getLogger(__name__)
@@ -67,16 +67,20 @@
         self.state_ok_us = 0
         self.state_bad_us = 0
         self.timeout_us = micros(tuning.request_timeout_s)
+        self.teams = {t.name: t for t in settings.facts.teams}
 
     @property
     def wall_us(self) -> int:
         return self.now_us + self.wall_offset_us
 
+    def team(self, name: str) -> Team | None:
+        return self.teams.get(name)
+
     def call(self, target: str, method: str, path: str, body: Any, done: Done,
-             timeout_us: int = 0, writes: int = 0) -> None:
+             timeout_us: int = 0, writes: int = 0, urgency: Urgency = Urgency.USER) -> None:
         self.next_id += 1
         self.calls[self.next_id] = done
-        self.out.append(Call(target, self.next_id, method, path, body, timeout_us or self.timeout_us, writes))
+        self.out.append(Call(target, self.next_id, method, path, body, timeout_us or self.timeout_us, writes, urgency))
 
     def answered(self, answer: Answer) -> None:
         done = self.calls.pop(answer.id, None)
@@ -93,7 +97,7 @@
             self.state_bad_us = self.now_us
 
     def txn(self, conditions: dict[str, int], puts: Mapping[str, tuple[Any, int | None]],
-            drops: list[str], done: TxnDone) -> None:
+            drops: list[str], done: TxnDone, urgency: Urgency = Urgency.REST) -> None:
         """One conditional write. On success the view has it before `done` runs."""
 
         def finish(status: int, body: bytes) -> None:
@@ -115,4 +119,5 @@
             self.changed(keys)
 
         body = messages.txn_request(conditions, puts, drops)
-        self.call("state", "POST", messages.PATH_TXN, body, finish, writes=len(puts) + len(drops))
+        self.call("state", "POST", messages.PATH_TXN, body, finish, writes=len(puts) + len(drops),
+                  urgency=urgency)
--- a/quinceslip/coordination/effects.py
+++ b/quinceslip/coordination/effects.py
@@ -1,6 +1,7 @@
 """What the actors ask the shell to do. They never do it themselves."""
 
 from dataclasses import dataclass, field
+from enum import IntEnum
 from typing import Any
 
 #: outcome of a call that surely never reached the other side
@@ -9,6 +10,15 @@
 UNKNOWN = 0
 
 
+class Urgency(IntEnum):
+    """The order in which calls to the state service get their share of its budget."""
+
+    USER = 0  # a user waits for it, or the right to a shard does
+    ROSTER = 1  # launches wait for it
+    RESULT = 2
+    REST = 3
+
+
 @dataclass(slots=True)
 class Call:
     """A request to the state service, the cloud or a worker; answered by `Answer(id)`."""
@@ -20,6 +30,7 @@
     body: Any = None
     timeout_us: int = 1_500_000
     writes: int = 0
+    urgency: Urgency = Urgency.USER
 
 
 @dataclass(slots=True)
@@ -50,6 +61,11 @@
     pass
 
 
+@dataclass(slots=True)
+class Settle:
+    """The inbox is empty, or enough was taken from it: act on what has changed."""
+
+
 @dataclass(slots=True)
 class Answer:
     id: int
@@ -90,4 +106,4 @@
     beat: Any
 
 
-Message = Tick | Answer | UserRequest | Reported | ViewReset | ViewChanges | PeerSaid
+Message = Tick | Settle | Answer | UserRequest | Reported | ViewReset | ViewChanges | PeerSaid
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -15,8 +15,10 @@
     Message,
     PeerSaid,
     Reported,
+    Settle,
     Tick,
     ToPeers,
+    Urgency,
     UserRequest,
     ViewChanges,
     ViewReset,
@@ -97,10 +99,9 @@
             self._caught_up()
         elif isinstance(message, PeerSaid):
             self._heard(message.beat)
-        for shard in self.shards.values():
-            if shard.dirty:
-                shard.plan()
-                shard.send_direct()
+        elif isinstance(message, Settle):
+            for shard in self.shards.values():
+                shard.settle()
         return ctx.out
 
     # The view.
@@ -110,11 +111,11 @@
             kind, name = records.View.split(key)
             if kind == "job":
                 for shard in self.shards.values():
-                    shard.sync(name)
+                    shard.recorder.sync(name)
             elif kind == "part":
                 uid = name.partition("/")[2]
                 for shard in self.shards.values():
-                    shard.sync(uid)
+                    shard.recorder.sync(uid)
             elif kind == "roster":
                 self.provision.roster_changed(name)
                 for shard in self.shards.values():
@@ -271,7 +272,7 @@
 
     def _shard_for(self, spec: m.JobSpec) -> int | None:
         """Home below its level, else as the paper forwards; a limited team has one fixed shard."""
-        team = next((t for t in self.ctx.settings.facts.teams if t.name == spec.team), None)
+        team = self.ctx.team(spec.team)
         if team is not None and (team.cpus_max or team.gpus_max):
             names = sorted(t.name for t in self.ctx.settings.facts.teams)
             return names.index(team.name) % self.size
@@ -296,8 +297,8 @@
             if not spec.service or not chunk.pending or \
                     self.ctx.now_us < shard.moved_us.get(chunk.uid, 0) + MOVE_AGAIN_US:
                 continue
-            whole = bool(shard.movable(chunk))
-            split = None if whole else shard.split_zones(chunk)
+            whole = bool(shard.recorder.movable(chunk))
+            split = None if whole else shard.recorder.split_zones(chunk)
             if not whole and split is None:
                 continue
             allowed = split[1] if split else (chunk.zones or set(order))
@@ -316,7 +317,7 @@
             need = math.ceil(spec.cpus * len(chunk.pending))
             target.service_room = [max(0, room - need) for room in target.service_room]
             shard.moved_us[chunk.uid] = self.ctx.now_us
-            shard.move(chunk, sorted(chunk.pending), target.shard, split)
+            shard.recorder.move(chunk, sorted(chunk.pending), target.shard, split)
 
     def _service_rooms(self) -> list[list[int]]:
         """Room for services in every shard, by zone."""
@@ -337,7 +338,7 @@
         for shard in self.shards.values():
             moves = 0
             for chunk in shard.ordered():
-                indices = shard.movable(chunk)
+                indices = shard.recorder.movable(chunk)
                 if not indices:
                     continue
                 targets = [s for s in room if s != shard.index and room[s] > 0 and self.ownership.owner(s)]
@@ -350,7 +351,7 @@
                 part = indices if whole else indices[: room[target]]
                 room[target] -= len(part)
                 moves += 1
-                shard.move(chunk, part, target)
+                shard.recorder.move(chunk, part, target)
                 beat = next((b for _, b in self.peers.values() for ld in b.loads if ld.shard == target), None)
                 for load in beat.loads if beat else []:
                     if load.shard == target:
@@ -430,8 +431,7 @@
 
     def _never_runs(self, spec: m.JobSpec) -> str | None:
         """Why a job can never run; None if it can."""
-        facts = self.ctx.settings.facts
-        team = next((t for t in facts.teams if t.name == spec.team), None)
+        team = self.ctx.team(spec.team)
         if team is None:
             return "unknown team"
         kinds = [t for t in self.ctx.types.values() if spec.types is None or t.label in spec.types]
@@ -476,7 +476,7 @@
             else:
                 self._unavailable(request)
 
-        ctx.txn({records.job_key(uid): 0}, {records.job_key(uid): (job, None)}, [], done)
+        ctx.txn({records.job_key(uid): 0}, {records.job_key(uid): (job, None)}, [], done, Urgency.USER)
 
     def _poll(self, request: int, uid: str, then: str = "status",
               absent: tuple[int, object] = (404, {"error": "no such job"})) -> None:
@@ -563,4 +563,4 @@
             else:
                 self._unavailable(request)
 
-        ctx.txn({key: ctx.view.stamp(key)}, {key: (final, None)}, parts, done)
+        ctx.txn({key: ctx.view.stamp(key)}, {key: (final, None)}, parts, done, Urgency.USER)
--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from quinceslip.coordination.context import SECOND, Context
+from quinceslip.coordination.effects import Urgency
 from quinceslip.protocol import messages
 from quinceslip.storage import records
 
@@ -174,7 +175,7 @@
                 self.next_claim_us = self.ctx.now_us + 150_000
 
         self.ctx.txn(conditions, {records.TERM: (records.TermRecord(term), None), key: (record, hold)},
-                     [], done)
+                     [], done, Urgency.USER)
 
     def record_changed(self, shard: int) -> None:
         """The view has news of a shard record."""
@@ -201,4 +202,4 @@
                 log.info("shard %d handed back to its home", shard)
                 self._drop(shard)
 
-        self.ctx.txn(self.condition(shard), {}, [records.shard_key(shard)], done)
+        self.ctx.txn(self.condition(shard), {}, [records.shard_key(shard)], done, Urgency.USER)
--- /dev/null
+++ b/quinceslip/coordination/placement.py
@@ -0,0 +1,332 @@
+"""Which task goes to which machine of a shard.
+
+A whole pass looks at every machine that may have room; a pass for one worker, made when it reports
+that a task has ended, looks at that worker only. Neither looks again for a task as large as one that
+found no place in the same pass.
+"""
+
+import logging
+from collections.abc import Iterable
+
+from quinceslip.coordination.context import SECOND
+from quinceslip.coordination.state import ATTEMPTS_PER_TERM, EPSILON, Attempt, Chunk, ShardState, Worker, fits
+from quinceslip.protocol import messages as m
+from quinceslip.storage import tasksets
+
+log = logging.getLogger(__name__)
+
+#: what found no place in this pass: constraints, then CPUs, GPUs and memory
+Failed = dict[tuple[object, ...], list[tuple[float, float, float]]]
+
+
+class Placement:
+    def __init__(self, state: ShardState) -> None:
+        self.state = state
+        self.ctx = state.ctx
+        self.looked = 0  # workers looked at so far: the work of placement, for tests and profiles
+
+    # Who may get what.
+
+    def usable(self, worker: Worker) -> bool:
+        # One that answers probes while its own reports do not arrive is about to lose its lease.
+        mute_us = self.ctx.now_us - max(worker.report_us, self.state.taken_us)
+        return (mute_us < self.ctx.timing.lease_us // 2 and worker.confirmed and worker.armed
+                and worker.type is not None and not worker.lost and not worker.draining and not worker.notice_us
+                and not worker.deleting and not worker.deaf
+                and self.ctx.now_us - worker.heard_us <= self.ctx.timing.fresh_us)
+
+    def allowed(self, worker: Worker, spec: m.JobSpec, zones: set[str] | None) -> bool:
+        return (worker.type is not None and (spec.types is None or worker.type.label in spec.types)
+                and (spec.zone is None or worker.zone == spec.zone) and (spec.spot or not worker.spot)
+                and (zones is None or worker.zone in zones))
+
+    def zones_for(self, chunk: Chunk) -> set[str] | None:
+        """Zones that `together` and `spread` leave for one more task; None: any.
+
+        Every task that may still be somewhere counts, wherever its chunk is kept.
+        """
+        spec = chunk.spec
+        if not (spec.one_zone or spec.spread):
+            return None
+        state = self.state
+        others = [c for s, c in self.ctx.view.chunks(chunk.uid).items()
+                  if s != state.index and tasksets.decode(c.own) - tasksets.decode(c.done)]
+        # Where others hold a part of it, only disjoint zones keep both from meeting.
+        apart = not spec.one_zone and chunk.zones and all(c.zones and not chunk.zones & set(c.zones) for c in others)
+        if chunk.unknown or chunk.limbo or (others and not apart):
+            return set()  # some may be anywhere: wait until it is known
+        counts: dict[str, int] = {}
+        for worker, _ in state.may_be_there(chunk.uid):
+            counts[worker.zone] = counts.get(worker.zone, 0) + 1
+        zones = set(chunk.zones or self.ctx.settings.facts.zones)
+        if spec.one_zone:
+            zones &= set(counts) or zones
+            if len(counts) > 1:
+                return set()
+        if spec.spread:
+            most = (spec.tasks + 1) // 2
+            zones = {z for z in zones if counts.get(z, 0) < most}
+        return zones
+
+    # Passes.
+
+    def plan(self) -> None:
+        """Place waiting tasks: priority first, then first come, first served."""
+        if not self.state.dirty or not self.state.ownership.entitled():
+            return
+        self.state.dirty = False
+        queue = self.state.ordered()
+        if queue:
+            self._pass(queue, [w for w in self.state.workers.values() if self.usable(w)], True)
+
+    def fill(self, worker: Worker) -> None:
+        """Place waiting tasks on one worker that has room again."""
+        if self.state.dirty or not self.state.ownership.entitled() or not self.usable(worker):
+            return
+        if worker.type is not None and worker.type.cpus - worker.used_cpus > EPSILON:
+            queue = self.state.ordered()
+            if queue:
+                self._pass(queue, [worker], False)
+
+    def _pass(self, queue: list[Chunk], workers: list[Worker], whole: bool) -> None:
+        failed: Failed = {}
+        least = min(c.spec.cpus for c in queue) - EPSILON
+        roomy = [w for w in workers if w.type is not None and w.type.cpus - w.used_cpus >= least]
+        self.looked += len(workers)
+        for chunk in queue:
+            if not whole and not roomy:
+                return
+            if chunk.spec.gang:
+                if whole:
+                    self._place_gang(chunk, roomy)
+            elif chunk.spec.one_zone or chunk.spec.spread:
+                self._place_bound(chunk, roomy, workers, failed, whole)
+            else:
+                self._place_free(chunk, roomy, workers, failed, whole)
+            if chunk.spec.priority > 0 and roomy:
+                roomy = [w for w in roomy if w.type is not None and w.type.cpus - w.used_cpus >= least]
+
+    def _hopeless(self, chunk: Chunk, zones: set[str] | None, failed: Failed, note: bool) -> bool:
+        """Whether a task no larger, bound alike, has found no place in this pass."""
+        spec = chunk.spec
+        key = (spec.priority, spec.team, spec.spot, spec.zone, tuple(spec.types) if spec.types else None,
+               frozenset(zones) if zones is not None else None)
+        sizes = failed.setdefault(key, [])
+        if note:
+            sizes.append((spec.cpus, spec.gpus, spec.memory_gb))
+            return True
+        return any(spec.cpus >= c and spec.gpus >= g and spec.memory_gb >= b for c, g, b in sizes)
+
+    def _paused(self, chunk: Chunk) -> list[int]:
+        """Tasks that pause after a failure, taken out of the queue for this pass."""
+        now_us = self.ctx.now_us
+        paused = [i for i, t in chunk.not_before.items() if t > now_us and i in chunk.pending]
+        for index in paused:
+            chunk.pending.discard(index)
+        return paused
+
+    def _place_free(self, chunk: Chunk, roomy: list[Worker], workers: list[Worker], failed: Failed,
+                    whole: bool) -> None:
+        """Tasks that nothing binds together: the machines in order of preference, each filled in turn.
+
+        Of two machines best fit takes the fuller one, and it stays the best as it fills up.
+        """
+        if self._hopeless(chunk, None, failed, False):
+            return
+        spec = chunk.spec
+        aside = self._paused(chunk)
+        stuck = False
+        try:
+            for worker in self._by_preference(chunk, roomy, None):
+                while chunk.pending and fits(worker.free(), spec):
+                    if not self._team_allows(spec):
+                        return
+                    index = chunk.pending.peek()
+                    chunk.pending.discard(index)
+                    name = f"{chunk.uid}/{index}"
+                    if name in worker.attempts or name in worker.reported:
+                        aside.append(index)  # an ended attempt of it is still on that worker
+                        continue
+                    self._launch(chunk, index, worker)
+                if not chunk.pending:
+                    return
+            while whole and chunk.pending and self._team_allows(spec):
+                spare = self._make_room(chunk, workers, None)
+                if spare is None:
+                    stuck = True
+                    break
+                index = chunk.pending.peek()
+                chunk.pending.discard(index)
+                self._launch(chunk, index, spare)
+            stuck = stuck or not whole
+        finally:
+            for index in aside:
+                chunk.pending.push(index)
+            if stuck:
+                self._hopeless(chunk, None, failed, True)
+
+    def _place_bound(self, chunk: Chunk, roomy: list[Worker], workers: list[Worker], failed: Failed,
+                     whole: bool) -> None:
+        """Tasks bound by zones: each is placed by what those before it left."""
+        spec = chunk.spec
+        aside = self._paused(chunk)
+        while chunk.pending and self._team_allows(spec):
+            zones = self.zones_for(chunk)
+            if (zones is not None and not zones) or self._hopeless(chunk, zones, failed, False):
+                break
+            index = chunk.pending.peek()
+            name = f"{chunk.uid}/{index}"
+            worker = next((w for w in self._by_preference(chunk, roomy, zones)
+                           if name not in w.attempts and name not in w.reported), None)
+            if worker is None and whole:
+                worker = self._make_room(chunk, workers, zones)
+            if worker is None:
+                self._hopeless(chunk, zones, failed, True)
+                break
+            chunk.pending.discard(index)
+            self._launch(chunk, index, worker)
+        for index in aside:
+            chunk.pending.push(index)
+
+    def _place_gang(self, chunk: Chunk, roomy: list[Worker]) -> None:
+        """Place all tasks of a gang or none; nothing is sent before all have a place."""
+        now_us = self.ctx.now_us
+        if len(chunk.pending) != len(chunk.own) - len(chunk.done) - len(chunk.new_done) or any(
+                t > now_us for t in chunk.not_before.values()):
+            return  # some of an earlier try are still there
+        placed: list[Attempt] = []
+        for index in list(chunk.pending):
+            name = f"{chunk.uid}/{index}"
+            found = self._by_preference(chunk, roomy, self.zones_for(chunk)) if self._team_allows(chunk.spec) else []
+            worker = next((w for w in found if name not in w.attempts and name not in w.reported), None)
+            if worker is None:
+                for attempt in placed:
+                    self.state.detach(self.state.workers[attempt.worker], attempt.name)
+                    del chunk.attempts[attempt.index]
+                return
+            # Tasks of a gang know each other by their attempt, so they share its number.
+            self._launch(chunk, index, worker, placed[0].number if placed else 0)
+            placed.append(chunk.attempts[index])
+        for attempt in placed:
+            chunk.pending.discard(attempt.index)
+
+    def _launch(self, chunk: Chunk, index: int, worker: Worker, number: int = 0) -> None:
+        state = self.state
+        if not number:
+            state.counter += 1
+            number = state.term * ATTEMPTS_PER_TERM + state.counter
+        attempt = Attempt(chunk.uid, index, number, chunk.spec, worker.name, self.ctx.now_us)
+        chunk.attempts[index] = attempt
+        state.attach(worker, attempt)
+        state.to_tell.add(worker.name)
+        log.debug("launch %s on %s", attempt.name, worker.name)
+
+    # The choice of the machine.
+
+    def _by_preference(self, chunk: Chunk, workers: Iterable[Worker], zones: set[str] | None) -> list[Worker]:
+        """Best fit among the machines that reported room, those with the image first."""
+        spec = chunk.spec
+        found = []
+        for worker in workers:
+            room = worker.free()
+            if fits(room, spec) and self.allowed(worker, spec, zones):
+                found.append(((worker.errors > 1, worker.name in chunk.blamed, *self._preference(worker, spec),
+                               room[0] - spec.cpus, room[2] - spec.memory_gb, worker.name), worker))
+        found.sort(key=lambda f: f[0])
+        return [worker for _, worker in found]
+
+    def _preference(self, worker: Worker, spec: m.JobSpec) -> tuple[float, ...]:
+        """What comes before best fit. Smaller is better."""
+        uncached = float(spec.image not in worker.images)
+        resident = worker.service_cpus
+        if spec.service:
+            # Services stay for long: where they leave least besides themselves, whatever else
+            # runs there now, the other machines can be returned.
+            size = worker.type.cpus if worker.type else 0.0
+            return (uncached, size - resident - spec.cpus)
+        # Work that may use spot machines leaves the others to work that may not, and of those
+        # prefers the ones that services keep rented anyway.
+        return (float(spec.spot and not worker.spot), float(not resident and not worker.spot), uncached)
+
+    def _make_room(self, chunk: Chunk, workers: list[Worker], zones: set[str] | None) -> Worker | None:
+        """Preempt lower priorities. Production takes the place at once; others wait for it."""
+        spec = chunk.spec
+        guaranteed = self._in_guarantee(spec.team, spec)
+        if spec.priority > 1 and not guaranteed:
+            return None
+        best: tuple[float, Worker, list[Attempt]] | None = None
+        for worker in workers:
+            if not worker.running or not self.allowed(worker, spec, zones):
+                continue
+            if not guaranteed and worker.service_room() < spec.cpus - EPSILON:
+                continue
+            room = list(worker.free())
+            for attempt in worker.live():
+                if attempt.halting and attempt.seen and not attempt.grace_s:
+                    # Stopped for another task a moment ago, and more than that one needs, perhaps.
+                    room[0] += attempt.spec.cpus
+                    room[1] += attempt.spec.gpus
+                    room[2] += attempt.spec.memory_gb
+            victims = [a for a in worker.live() if a.seen and not a.halting and (
+                (spec.priority <= 1 and a.spec.priority > spec.priority)
+                or (guaranteed and a.spec.team != spec.team and not self._in_guarantee(a.spec.team, None)))]
+            victims.sort(key=lambda a: (-a.spec.priority, a.spec.checkpoint_s == 0, -a.running_us))
+            chosen: list[Attempt] = []
+            lost = 0.0
+            for victim in victims:
+                if fits((room[0], room[1], room[2]), spec):
+                    break
+                chosen.append(victim)
+                room[0] += victim.spec.cpus
+                room[1] += victim.spec.gpus
+                room[2] += victim.spec.memory_gb
+                ran_s = (self.ctx.now_us - victim.running_us) / SECOND if victim.running_us else 0.0
+                at_risk_s = min(ran_s, victim.spec.checkpoint_s) if victim.spec.checkpoint_s else ran_s
+                lost += at_risk_s * victim.spec.cpus
+            cost = lost + 30.0 * (spec.image not in worker.images)
+            if fits((room[0], room[1], room[2]), spec) and (best is None or cost < best[0]):
+                best = (cost, worker, chosen)
+        if best is None:
+            return None
+        _, worker, chosen = best
+        for victim in chosen:
+            log.info("%s makes room for %s", victim.name, chunk.uid)
+            self.state.halt(victim, 0.0)
+        return worker
+
+    # Teams.
+
+    def _in_guarantee(self, name: str, more: m.JobSpec | None) -> bool:
+        """Whether a team stays within its guarantee here, with one more task.
+
+        Each shard answers for an equal part of it: what settings fix, no race can exceed.
+        """
+        team = self.ctx.team(name)
+        if team is None or not (team.cpus or team.gpus):
+            return False
+        part = 1 if team.cpus_max or team.gpus_max else self.ctx.settings.facts.size
+        cpus = more.cpus if more else 0.0
+        gpus = more.gpus if more else 0.0
+        for worker in self.state.workers.values():
+            for attempt in worker.attempts.values():
+                if attempt.spec.team == name and not attempt.ended:
+                    cpus += attempt.spec.cpus
+                    gpus += attempt.spec.gpus
+        return cpus <= team.cpus / part + EPSILON and gpus <= team.gpus / part + EPSILON
+
+    def _team_allows(self, spec: m.JobSpec) -> bool:
+        """A team with a limit has all its jobs on one shard, which alone counts its tasks."""
+        team = self.ctx.team(spec.team)
+        if team is None or not (team.cpus_max or team.gpus_max):
+            return True
+        if self.state.unresolved:
+            # What an earlier owner had running of jobs that are over may be on a silent worker.
+            return False
+        cpus, gpus = spec.cpus, spec.gpus
+        for worker in self.state.workers.values():
+            for attempt in worker.attempts.values():
+                if attempt.spec.team == spec.team and (not attempt.ended or not self.state.settled(worker, attempt)):
+                    cpus += attempt.spec.cpus
+                    gpus += attempt.spec.gpus
+        return (not team.cpus_max or cpus <= team.cpus_max + EPSILON) and (
+            not team.gpus_max or gpus <= team.gpus_max + EPSILON)
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -9,8 +9,10 @@
 import msgspec
 
 from quinceslip.coordination.context import SECOND, Context, TxnDone, micros
+from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.ownership import Ownership
-from quinceslip.coordination.shard import Chunk, Shard, fits
+from quinceslip.coordination.shard import Shard
+from quinceslip.coordination.state import Chunk, fits
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
 
@@ -177,7 +179,7 @@
             return
         key = records.roster_key(name)
         self.ctx.txn({**self.ownership.condition(record.shard), key: 0}, {key: (record, None)}, [],
-                     done or (lambda s, f: None))
+                     done or (lambda s, f: None), Urgency.ROSTER)
 
     def _adopt_listed(self) -> None:
         """Machines in the list that nobody answers for, for instance of a late rental."""
@@ -276,7 +278,8 @@
             if status == 200 and rest:
                 hire.next_us = self.ctx.now_us
 
-        self.ctx.txn(conditions, puts, [] if rest else [records.hire_key(hire.name)], done)
+        self.ctx.txn(conditions, puts, [] if rest else [records.hire_key(hire.name)], done,
+                     Urgency.ROSTER)
 
     def _hire(self, shard: Shard, machine_type: str, zone: str, spot: bool, count: int) -> None:
         self.counter += 1
@@ -292,7 +295,7 @@
                 self.hires.pop(name, None)
 
         self.ctx.txn({**self.ownership.condition(shard.index), records.hire_key(name): 0},
-                     {records.hire_key(name): (record, None)}, [], done)
+                     {records.hire_key(name): (record, None)}, [], done, Urgency.ROSTER)
 
     def _plan(self, shard: Shard) -> None:
         """Rent for the waiting tasks that no coming machine will take."""
@@ -314,11 +317,11 @@
         lacking: dict[tuple[str, bool, bool], tuple[Chunk, float, int]] = {}
         for chunk in shard.ordered():
             # Tasks that pause after a failure need no machine: a mistaken job would rent many.
-            waiting = len(chunk.pending) - len(chunk.not_before)
+            waiting = chunk.ready()
             if waiting <= 0:
                 continue
             spec = chunk.spec
-            zones = shard.zones_for(chunk)
+            zones = shard.placement.zones_for(chunk)
             if zones is not None and not zones:
                 continue
             for zone, spot, kind, room in coming:
@@ -379,7 +382,7 @@
     def _rent_for(self, shard: Shard, chunk: Chunk, spot: bool, cpus: float, count: int,
                   anywhere: bool = False) -> None:
         spec = chunk.spec
-        zones = None if anywhere else shard.zones_for(chunk)
+        zones = None if anywhere else shard.placement.zones_for(chunk)
         in_zone: dict[str, int] = defaultdict(int)
         for worker in shard.workers.values():
             in_zone[worker.zone] += 1
@@ -451,7 +454,7 @@
             if worker.attempts or any(t.state != m.EXITED for t in worker.reported.values()):
                 continue
             spare = False
-            if not worker.attempts and shard.usable(worker):
+            if not worker.attempts and shard.placement.usable(worker):
                 # One idle machine is kept in hand for long; the more there are, the shorter.
                 idle_rank[worker.spot] += 1
                 patience_us = self._patience_us(boot_us) // idle_rank[worker.spot]
@@ -471,7 +474,7 @@
         if not services or worker.spot:
             return False
         largest = max(services, key=lambda s: s.cpus)
-        others = [w for w in shard.workers.values() if w.name != name and not w.spot and shard.usable(w)]
+        others = [w for w in shard.workers.values() if w.name != name and not w.spot and shard.placement.usable(w)]
         return not any(w.service_room() >= largest.cpus for w in others)
 
     def _delete(self, shard: Shard, names: list[str]) -> None:
--- /dev/null
+++ b/quinceslip/coordination/recording.py
@@ -0,0 +1,255 @@
+"""Keeps the chunks of a shard and their records in the state service in line with each other."""
+
+import logging
+import math
+from typing import Any
+
+import msgspec
+
+from quinceslip.coordination.context import SECOND, micros
+from quinceslip.coordination.effects import NOT_SENT, Urgency
+from quinceslip.coordination.state import Attempt, Chunk, ShardState
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records, tasksets
+
+log = logging.getLogger(__name__)
+
+#: a result that completes nothing may wait this long at least, so that others join it
+FLUSH_US = SECOND
+#: what may go into such results, as a part of the write budget of this controller
+FLUSH_PART = 0.25
+#: pause before a write that failed a condition is tried again
+AGAIN_US = 250_000
+
+
+class Recorder:
+    def __init__(self, state: ShardState) -> None:
+        self.state = state
+        self.ctx = state.ctx
+        self.open: set[str] = set()  # chunks that may have something to record
+        self.arrived = 0
+        facts = state.ctx.settings.facts
+        self.writes_per_s = FLUSH_PART * facts.state.write_rps / facts.size
+
+    # From the records.
+
+    def sync(self, uid: str, inherited: bool = False) -> None:
+        """Bring a chunk in line with its record."""
+        state, view = self.state, self.ctx.view
+        record = view.chunk(state.index, uid)
+        job = view.job(uid)
+        chunk = state.chunks.get(uid)
+        if record is None or job is None or job.spec is None:
+            if chunk is not None:
+                del state.chunks[uid]
+                self.open.discard(uid)
+                self._end_job(chunk)
+            return
+        if chunk is None:
+            chunk = state.chunks[uid] = Chunk(uid, job.spec, job.at_us, due_us=self._due_us(job.spec, job.at_us))
+            if not inherited:
+                self.arrived += 1
+        own, done = tasksets.decode(record.own), tasksets.decode(record.done)
+        fresh = own - chunk.own - done
+        removed, more_done = chunk.own - own, done - chunk.done
+        chunk.own, chunk.done, chunk.zones = own, done, set(record.zones)
+        chunk.new_done -= done
+        if inherited:
+            chunk.unknown |= fresh
+        else:
+            state.add_pending(chunk, fresh)
+        for index in removed | more_done:
+            chunk.pending.discard(index)
+            chunk.unknown.discard(index)
+        stamp = view.stamp(self._key(uid))
+        if chunk.limbo and stamp > chunk.limbo_stamp:
+            # The record changed since, so the move was either applied or never can be.
+            limbo, chunk.limbo = chunk.limbo, set()
+            state.add_pending(chunk, (limbo & own) - done)
+        state.dirty = True
+        self.open.add(uid)
+        if not record.own and job.shard != state.index:
+            state.chunks.pop(uid)
+        self._finalise(uid)
+
+    def _due_us(self, spec: m.JobSpec, at_us: int) -> int:
+        """When the users want a job done: its own deadline, or the aim of its class."""
+        due_s = math.inf if spec.deadline_s is None else spec.deadline_s
+        for objective in self.ctx.settings.facts.objectives:
+            if objective.job_class == spec.job_class and objective.kind == "finished" and objective.within_s:
+                due_s = min(due_s, objective.within_s)
+        return 0 if spec.service or not math.isfinite(due_s) else at_us + micros(due_s)
+
+    def _end_job(self, chunk: Chunk) -> None:
+        job = self.ctx.view.job(chunk.uid)
+        if job is not None and job.state == m.WITHDRAWN:
+            for attempt in chunk.attempts.values():
+                if not attempt.ended:
+                    self.state.halt(attempt, 0.0)
+
+    def _key(self, uid: str) -> str:
+        job = self.ctx.view.job(uid)
+        if job is not None and job.shard == self.state.index:
+            return records.job_key(uid)
+        return records.part_key(self.state.index, uid)
+
+    def recorded(self, attempt: Attempt) -> bool:
+        """Whether its result is safe in the records."""
+        if attempt.ended != m.CAUSE_DONE:
+            return True
+        chunk = self.state.chunks.get(attempt.uid)
+        if chunk is not None:
+            return attempt.index in chunk.done
+        job = self.ctx.view.job(attempt.uid)
+        return job is not None and records.is_final(job)
+
+    # Results.
+
+    def result(self, chunk: Chunk) -> None:
+        self.open.add(chunk.uid)
+
+    def flush(self) -> None:
+        """Record finished tasks, one write per job.
+
+        What ends a chunk goes at once, since a user waits for it. Other results wait on their workers
+        and are lost only together with these, so they go as seldom as the write budget asks.
+        """
+        now_us = self.ctx.now_us
+        chunks = [c for c in (self.state.chunks.get(u) for u in self.open) if c is not None]
+        partial = sum(1 for c in chunks if c.new_done)
+        pause_us = max(FLUSH_US, int(partial / self.writes_per_s * SECOND))
+        for chunk in chunks:
+            whole = len(chunk.done) + len(chunk.new_done) >= len(chunk.own)
+            if chunk.flushing or now_us < chunk.next_flush_us:
+                continue
+            if chunk.new_done and (whole or now_us >= chunk.next_result_us):
+                self._flush(chunk, pause_us, whole)
+            elif chunk.limbo and not chunk.moving:
+                self._flush(chunk, pause_us, False)  # settles an open move: the same chunk under a new stamp
+            elif whole and not chunk.new_done:
+                chunk.next_flush_us = now_us + SECOND
+                self._finalise(chunk.uid)
+            elif not chunk.new_done and not chunk.limbo:
+                self.open.discard(chunk.uid)
+
+    def _flush(self, chunk: Chunk, pause_us: int, whole: bool) -> None:
+        view, uid = self.ctx.view, chunk.uid
+        job = view.job(uid)
+        if job is None or job.state != m.QUEUED:
+            return
+        key = self._key(uid)
+        done = chunk.done | chunk.new_done
+        chunk.next_flush_us = self.ctx.now_us + AGAIN_US
+        chunk.next_result_us = self.ctx.now_us + pause_us
+        if not job.parts and len(done) == job.tasks:
+            self._finish(chunk, job, len(done))
+            return
+        record = records.Chunk(tasksets.encode(chunk.own), tasksets.encode(done), sorted(chunk.zones))
+        value = msgspec.structs.replace(job, chunk=record) if job.shard == self.state.index else record
+        self._write(chunk, {key: view.stamp(key)}, {key: (value, None)}, [],
+                    Urgency.USER if whole else Urgency.RESULT)
+
+    def _write(self, chunk: Chunk, conditions: dict[str, int], puts: dict[str, tuple[Any, int | None]],
+               drops: list[str], urgency: Urgency) -> None:
+        chunk.flushing = True
+
+        def finish(status: int, failed: list[str]) -> None:
+            chunk.flushing = False
+            chunk.next_flush_us = self.ctx.now_us + (AGAIN_US if status in (200, 409) else SECOND)
+            job = self.ctx.view.job(chunk.uid)
+            if status == 200 and job is not None and job.state == m.DONE:
+                log.info("job %s is done", chunk.uid)
+
+        self.ctx.txn({**self.state.ownership.condition(self.state.index), **conditions}, puts, drops, finish,
+                     urgency)
+
+    def _finalise(self, uid: str) -> None:
+        """A job in several chunks is done when all of them are; its home shard says so."""
+        view = self.ctx.view
+        job, chunk = view.job(uid), self.state.chunks.get(uid)
+        if job is None or chunk is None or not job.parts or job.shard != self.state.index or chunk.flushing:
+            return
+        if len(chunk.done) < len(chunk.own):
+            return
+        count = records.done_count(view, uid)
+        if count == job.tasks:
+            self._finish(chunk, job, count)
+
+    def _finish(self, chunk: Chunk, job: records.JobRecord, count: int) -> None:
+        view, uid = self.ctx.view, chunk.uid
+        parts = [records.part_key(s, uid) for s in job.parts]
+        conditions = {key: view.stamp(key) for key in [records.job_key(uid), *parts]}
+        self._write(chunk, conditions, {records.job_key(uid): (records.final_record(job, m.DONE, count), None)},
+                    [p for p in parts if view.stamp(p)], Urgency.USER)
+
+    # Moves between shards.
+
+    def split_zones(self, chunk: Chunk) -> tuple[set[str], set[str]] | None:
+        """How a spread service may be split: zones for what stays here, and for what waits.
+
+        The two never meet, so each shard can keep to the spread by counting its own tasks.
+        """
+        spec = chunk.spec
+        if not (spec.service and spec.spread) or spec.one_zone or spec.zone or chunk.flushing or chunk.moving \
+                or chunk.limbo or chunk.unknown or not chunk.pending:
+            return None
+        used = set()
+        for attempt in self.state.there.get(chunk.uid, ()):
+            worker = self.state.workers.get(attempt.worker)
+            if worker is not None:
+                used.add(worker.zone)
+        mine = chunk.zones or set(self.ctx.settings.facts.zones)
+        used, rest = used & mine, mine - used
+        return (used, rest) if used and rest else None
+
+    def movable(self, chunk: Chunk) -> list[int]:
+        """Tasks certain not to be running; all or nothing where zones bind the tasks together."""
+        if chunk.flushing or chunk.moving or chunk.limbo or chunk.unknown:
+            return []
+        team = self.ctx.team(chunk.spec.team)
+        if team is not None and (team.cpus_max or team.gpus_max):
+            return []
+        if chunk.spec.whole:
+            whole = len(chunk.pending) == len(chunk.own) - len(chunk.done) and not chunk.new_done
+            if not whole:
+                return []
+        return list(chunk.pending)
+
+    def move(self, chunk: Chunk, indices: list[int], target: int,
+             split: tuple[set[str], set[str]] | None = None) -> None:
+        """Hand waiting tasks to another shard in one transaction."""
+        state, view, uid = self.state, self.ctx.view, chunk.uid
+        job = view.job(uid)
+        if job is None or job.state != m.QUEUED or not indices:
+            return
+        moved = set(indices)
+        stay, go = split or (chunk.zones, chunk.zones)
+        mine = records.Chunk(tasksets.encode(chunk.own - moved), tasksets.encode(chunk.done | chunk.new_done),
+                             sorted(stay))
+        theirs = view.chunk(target, uid) or records.Chunk("")
+        if theirs.own and theirs.zones and go:
+            go = go | set(theirs.zones)
+        theirs = records.Chunk(tasksets.encode(tasksets.decode(theirs.own) | moved), theirs.done, sorted(go))
+        chunks = {state.index: mine, target: theirs}
+        parts = sorted({*job.parts, *(s for s in chunks if s != job.shard)})
+        record = msgspec.structs.replace(job, parts=parts, chunk=chunks.get(job.shard, job.chunk))
+        key = self._key(uid)
+        puts: dict[str, tuple[Any, int | None]] = {
+            records.part_key(s, uid): (c, None) for s, c in chunks.items() if s != job.shard}
+        puts[records.job_key(uid)] = (record, None)
+        conditions = {**state.ownership.condition(state.index), **{k: view.stamp(k) for k in puts}}
+        for index in moved:
+            chunk.pending.discard(index)
+        chunk.limbo, chunk.limbo_stamp, chunk.moving = moved, view.stamp(key), True
+        self.open.add(uid)
+
+        def done(status: int, failed: list[str]) -> None:
+            chunk.moving = False
+            if status == 200:
+                log.info("%d tasks of %s moved to shard %d", len(moved), uid, target)
+            elif status in (NOT_SENT, 409, 429, 503, 400):
+                limbo, chunk.limbo = chunk.limbo, set()
+                state.add_pending(chunk, limbo)
+            # Otherwise the outcome is open: the tasks stay in limbo until the record changes.
+
+        self.ctx.txn(conditions, puts, [], done, Urgency.USER if chunk.spec.service else Urgency.REST)
--- /dev/null
+++ b/quinceslip/coordination/state.py
@@ -0,0 +1,290 @@
+"""What one shard knows of its workers and tasks, with the counts that placement asks for.
+
+Free room, the places of a job's tasks and the chunks that wait are kept up to date as they change:
+with hundreds of machines, summing them anew for each message would cost by the fleet.
+"""
+
+import heapq
+import logging
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from quinceslip.coordination.context import SECOND, Context, micros
+from quinceslip.coordination.ownership import Ownership
+from quinceslip.protocol import messages as m
+
+log = logging.getLogger(__name__)
+
+#: attempts of one term; the term sits above, so attempts always rise
+ATTEMPTS_PER_TERM = 2**24
+#: estimates are often wrong by half: only a job with less time left than this part is given up on
+LATE_PART = 0.5
+EPSILON = 1e-6
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    uid: str
+    index: int
+    number: int
+    spec: m.JobSpec
+    worker: str
+    sent_us: int
+    seen: bool = False
+    state: str = ""
+    running_us: int = 0
+    ended: str = ""  # cause, once it has exited
+    halting: bool = False
+    grace_s: float = 0.0
+    direct: bool = False  # a /do with its launch is in flight
+    unanswered_term: int = 0  # a /do with its launch was never answered, sent under this term
+    told: bool = False  # its launch or halt went out already
+    name: str = ""
+
+    def __post_init__(self) -> None:
+        self.name = f"{self.uid}/{self.index}"
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    name: str
+    type: m.MachineType | None
+    zone: str
+    spot: bool
+    endpoint: str = ""
+    session: int = 0
+    seq: int = 0
+    token: int = 0
+    notice_us: int = 0
+    answered_us: int = 0
+    heard_us: int = 0
+    report_us: int = 0  # last report of its own accord
+    born_us: int = 0
+    confirmed: bool = False
+    lost: bool = False
+    draining: str = ""
+    deleting: bool = False
+    busy: bool = False  # a /do is in flight
+    idle_us: int = 0
+    reported: dict[str, m.TaskReport] = field(default_factory=dict)
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)
+    errors: int = 0
+    armed: bool = False  # its roster record says that it may hold tasks
+    arming: bool = False
+    deaf: int = 0  # probes in a row that went unanswered
+    probing: bool = False
+    next_probe_us: int = 0
+    # Sums over the attempts that have not ended.
+    running: int = 0
+    used_cpus: float = 0.0
+    used_gpus: float = 0.0
+    used_memory_gb: float = 0.0
+    production_cpus: float = 0.0  # of what a service may not preempt
+    service_cpus: float = 0.0
+    service_tasks: int = 0
+
+    def count(self, spec: m.JobSpec, by: int) -> None:
+        self.running += by
+        if not self.running:
+            # Sums of decimal amounts drift; an empty machine is exactly empty.
+            self.used_cpus = self.used_gpus = self.used_memory_gb = 0.0
+            self.production_cpus = self.service_cpus = 0.0
+            self.service_tasks = 0
+            return
+        self.used_cpus += by * spec.cpus
+        self.used_gpus += by * spec.gpus
+        self.used_memory_gb += by * spec.memory_gb
+        if spec.priority == 0:
+            self.production_cpus += by * spec.cpus
+        if spec.service:
+            self.service_cpus += by * spec.cpus
+            self.service_tasks += by
+
+    def live(self) -> list[Attempt]:
+        return [a for a in self.attempts.values() if not a.ended]
+
+    def service_room(self) -> float:
+        """CPUs that are free or held by what a service may preempt."""
+        return self.type.cpus - self.production_cpus if self.type is not None else 0.0
+
+    def free(self) -> tuple[float, float, float]:
+        if self.type is None:
+            return (0.0, 0.0, 0.0)
+        return (self.type.cpus - self.used_cpus, self.type.gpus - self.used_gpus,
+                self.type.memory_gb - self.used_memory_gb)
+
+
+def fits(free: tuple[float, float, float], spec: m.JobSpec) -> bool:
+    return free[0] >= spec.cpus - EPSILON and free[1] >= spec.gpus - EPSILON \
+        and free[2] >= spec.memory_gb - EPSILON
+
+
+class TaskQueue:
+    """Waiting task numbers, lowest first; any of them can be taken out at once."""
+
+    def __init__(self) -> None:
+        self._heap: list[int] = []
+        self._members: set[int] = set()
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __contains__(self, index: int) -> bool:
+        return index in self._members
+
+    def __iter__(self) -> Iterator[int]:
+        return iter(sorted(self._members))
+
+    def push(self, index: int) -> None:
+        if index not in self._members:
+            self._members.add(index)
+            heapq.heappush(self._heap, index)
+
+    def peek(self) -> int:
+        while self._heap[0] not in self._members:
+            heapq.heappop(self._heap)
+        return self._heap[0]
+
+    def discard(self, index: int) -> None:
+        # What is left in the heap is passed over when it comes up; a later push may bring it twice.
+        self._members.discard(index)
+        if len(self._heap) > 2 * len(self._members) + 16:
+            self._heap = sorted(self._members)
+
+
+@dataclass(slots=True, eq=False)
+class Chunk:
+    uid: str
+    spec: m.JobSpec
+    at_us: int
+    own: set[int] = field(default_factory=set)
+    done: set[int] = field(default_factory=set)
+    new_done: set[int] = field(default_factory=set)
+    pending: TaskQueue = field(default_factory=TaskQueue)
+    unknown: set[int] = field(default_factory=set)
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    not_before: dict[int, int] = field(default_factory=dict)
+    failures: dict[int, int] = field(default_factory=dict)
+    limbo: set[int] = field(default_factory=set)  # part of a move whose outcome is open
+    limbo_stamp: int = 0
+    sound: bool = False  # some task of it has completed
+    flushing: bool = False
+    moving: bool = False
+    next_flush_us: int = 0
+    next_result_us: int = 0
+    blamed: set[str] = field(default_factory=set)  # workers on which tasks of it failed
+
+    zones: set[str] = field(default_factory=set)  # empty: any
+    due_us: int = 0  # wall clock by which the users want it done; 0: no aim
+
+    def order(self, wall_us: int) -> tuple[int, bool, int, str]:
+        """Priority, then first come, first served; what cannot be on time any more comes last.
+
+        Plain first come, first served lets one late job make every later one late as well.
+        """
+        late = bool(self.due_us) and wall_us + micros(LATE_PART * self.spec.estimate_s) > self.due_us
+        return (self.spec.priority, late, self.at_us, self.uid)
+
+    def ready(self) -> int:
+        """Waiting tasks that do not pause after a failure."""
+        return len(self.pending) - sum(i in self.pending for i in self.not_before)
+
+
+class ShardState:
+    """Workers and chunks of one shard; the only place where their counts change."""
+
+    def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int) -> None:
+        self.ctx = ctx
+        self.ownership = ownership
+        self.index = index
+        self.term = term
+        self.counter = 0
+        self.taken_us = ctx.now_us
+        self.workers: dict[str, Worker] = {}
+        self.chunks: dict[str, Chunk] = {}
+        self.unresolved: set[str] = set()
+        self.next_raise_us = 0
+        self.dirty = True
+        self.to_tell: set[str] = set()  # workers with commands that have not gone out
+        self.queued: dict[str, Chunk] = {}  # chunks that have had waiting tasks lately
+        self.there: dict[str, set[Attempt]] = {}  # what of a job may still be on machines
+
+    # Attempts.
+
+    def attach(self, worker: Worker, attempt: Attempt) -> None:
+        self.detach(worker, attempt.name)
+        worker.attempts[attempt.name] = attempt
+        if not attempt.ended:
+            worker.count(attempt.spec, 1)
+        self.there.setdefault(attempt.uid, set()).add(attempt)
+
+    def detach(self, worker: Worker, name: str) -> None:
+        attempt = worker.attempts.pop(name, None)
+        if attempt is None:
+            return
+        if not attempt.ended:
+            worker.count(attempt.spec, -1)
+        places = self.there.get(attempt.uid)
+        if places is not None:
+            places.discard(attempt)
+            if not places:
+                del self.there[attempt.uid]
+
+    def end(self, worker: Worker | None, attempt: Attempt, why: str) -> None:
+        """It no longer takes room."""
+        if not attempt.ended and worker is not None and worker.attempts.get(attempt.name) is attempt:
+            worker.count(attempt.spec, -1)
+        attempt.ended = why
+
+    def settled(self, worker: Worker, attempt: Attempt) -> bool:
+        """No launch of this attempt can still arrive."""
+        if attempt.direct:
+            return False
+        return not attempt.unanswered_term or worker.token > attempt.unanswered_term
+
+    def may_be_there(self, uid: str) -> Iterator[tuple[Worker, Attempt]]:
+        for attempt in self.there.get(uid, ()):
+            worker = self.workers.get(attempt.worker)
+            if worker is not None and (not attempt.ended or not self.settled(worker, attempt)):
+                yield worker, attempt
+
+    def halt(self, attempt: Attempt, grace_s: float) -> None:
+        if not attempt.halting or grace_s < attempt.grace_s:
+            attempt.halting, attempt.grace_s, attempt.told = True, grace_s, False
+            self.to_tell.add(attempt.worker)
+
+    # Waiting tasks.
+
+    def add_pending(self, chunk: Chunk, indices: Iterable[int]) -> None:
+        for index in indices:
+            if index not in chunk.attempts and index not in chunk.done and index not in chunk.new_done \
+                    and index not in chunk.limbo and index in chunk.own:
+                chunk.pending.push(index)
+                self.dirty = True
+        if chunk.pending and self.chunks.get(chunk.uid) is chunk:
+            self.queued[chunk.uid] = chunk
+
+    def ordered(self) -> list[Chunk]:
+        """Chunks with waiting tasks, in the order in which they are served."""
+        for uid in [u for u, c in self.queued.items() if not c.pending or self.chunks.get(u) is not c]:
+            del self.queued[uid]
+        wall_us = self.ctx.wall_us
+        return sorted(self.queued.values(), key=lambda c: c.order(wall_us))
+
+    def waiting(self) -> int:
+        return sum(len(c.pending) for c in self.queued.values() if self.chunks.get(c.uid) is c)
+
+    def requeue(self, worker: Worker | None, attempt: Attempt) -> None:
+        self.end(worker, attempt, "lost")
+        chunk = self.chunks.get(attempt.uid)
+        if chunk is not None and chunk.attempts.get(attempt.index) is attempt:
+            del chunk.attempts[attempt.index]
+            self.add_pending(chunk, [attempt.index])
+
+    # Terms.
+
+    def raise_term(self, above: int = 0) -> None:
+        if self.ctx.now_us >= self.next_raise_us:
+            self.next_raise_us = self.ctx.now_us + 3 * SECOND
+            self.ownership.claim(self.index, above)
--- a/quinceslip/transport/actor.py
+++ b/quinceslip/transport/actor.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from quinceslip.coordination.effects import Effect, Tick
+from quinceslip.coordination.effects import Effect, Settle, Tick
 from quinceslip.transport.clock import steady_us
 
 log = logging.getLogger(__name__)
 
+#: so many messages are taken before the actor acts on what they changed
+BATCH = 32
+
 
 class ActorThread:
     def __init__(self, handle: Callable[[Any, int], list[Effect]], carry_out: Callable[[Effect], None],
@@ -39,17 +42,23 @@
 
     def _run(self) -> None:
         next_us = steady_us()
+        taken = 0
         while True:
             now_us = steady_us()
             message: Any
             if now_us >= next_us:
                 next_us = now_us + self.beat_us
                 message = Tick()
+            elif taken >= BATCH:
+                message = Settle()
             else:
                 try:
-                    message = self.inbox.get(timeout=(next_us - now_us) / 1e6)
+                    message = self.inbox.get(block=not taken, timeout=(next_us - now_us) / 1e6)
                 except queue.Empty:
-                    continue
+                    if not taken:
+                        continue
+                    message = Settle()
+            taken = 0 if isinstance(message, Settle) else taken + 1
             try:
                 effects = self.handle(message, steady_us())
             except Exception:
--- a/tests/world.py
+++ b/tests/world.py
@@ -423,8 +423,9 @@
     def give(self, message: Any, life: int | None = None) -> None:
         if self.node is None or (life is not None and life != self.life):
             return
-        for effect in self.node.handle(message, self.world.now_us):
-            self._carry_out(effect)
+        for step in (message, fx.Settle()):
+            for effect in self.node.handle(step, self.world.now_us):
+                self._carry_out(effect)
 
     def _beat(self, life: int) -> None:
         if life == self.life and self.node is not None:
