--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -18,6 +18,13 @@
 
 STACK_BYTES = 256 * 1024
 BEAT_US = 100_000
+STATE_THREADS = 8
+WORKER_THREADS = 12
+#: part of the sockets that users and workers may hold
+API_SOCKETS = 0.75
+#: what the process takes without connections, and what one connection's thread adds (measured)
+BASE_MB = 40.0
+CONNECTION_MB = 0.08
 
 
 class Service:
@@ -28,16 +35,19 @@
         node = Node(settings, tuning, steady_us(), wall_us())
         self.actor = ActorThread(node.handle, self._carry_out, BEAT_US, inbox=1000)
         post = self.actor.post_sure
-        # Any node may need most of the budget while others are down; 429s are retried.
-        part = min(1.0, 2.0 / facts.size)
-        budget = Budget(facts.state.rps * part, facts.state.write_rps * part)
-        self.state = Pool("state", 4, post, budget)
-        self.holds = Pool("hold", 1, post)  # renewals never wait behind anything else
-        self.cloud = Pool("cloud", 2, post)
-        self.workers = Pool("worker", 6, post)
+        budget = Budget(facts.state.rps, facts.state.write_rps, facts.size)
+        self.state = Pool("state", STATE_THREADS, post, budget)
+        self.holds = Pool("hold", 2, post)  # renewals never wait behind anything else
+        self.cloud = Pool("cloud", 4, post)
+        # A silent worker keeps a thread until the time limit. Probes are mostly of such workers, so
+        # they have threads of their own, and commands to healthy ones never wait behind them.
+        self.workers = Pool("worker", WORKER_THREADS, post, most_idle=facts.limits.max_sockets // 8)
+        self.probes = Pool("probe", WORKER_THREADS, post, most_idle=0)
         self.replies = Replies(self.actor.post)
         self.links = [PeerLink(split_address(p.endpoint)) for p in settings.known]
-        most = int(min(facts.limits.max_sockets / 2, facts.limits.memory_mb * 2))
+        # Every worker of the site may report here while the other controllers are down.
+        most = max(64, int(min(facts.limits.max_sockets * API_SOCKETS,
+                               (facts.limits.memory_mb - BASE_MB) / CONNECTION_MB)))
         self.api = ApiServer(split_address(settings.api_addr), self.replies, most)
         self.peers = PeerServer(split_address(settings.peer_bind), 4 * facts.size,
                                 lambda beat: void(self.actor.post(PeerSaid(beat))))
@@ -57,6 +67,8 @@
                 self.holds.submit(effect, outside.state)
             elif effect.target == "cloud":
                 self.cloud.submit(effect, outside.cloud)
+            elif effect.method == "GET":
+                self.probes.submit(effect, effect.target)
             else:
                 self.workers.submit(effect, effect.target)
         else:
--- a/quinceslip/transport/clients.py
+++ b/quinceslip/transport/clients.py
@@ -1,6 +1,7 @@
 """HTTP clients: a few threads for each kind of target, reused connections, a time limit on all."""
 
 import http.client
+import itertools
 import logging
 import queue
 import socket
@@ -18,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 MAX_ANSWER = 64 * 1024 * 1024
+MOST_CALLS = 2000
 
 
 class Connection(http.client.HTTPConnection):
@@ -54,12 +56,22 @@
 
 
 class Budget:
-    """A token bucket over requests and writes, so that this node keeps to its share."""
+    """A token bucket over requests and writes, so that this node keeps to its share.
 
-    def __init__(self, rate: float, write_rate: float) -> None:
+    The share is learnt: a refusal says that the others need theirs, and then it shrinks down to an
+    equal part; while nothing is refused it grows, so that the part of a node that is down is used.
+    """
+
+    GROWTH_PER_S = 0.05
+    CUT = 0.8
+
+    def __init__(self, rate: float, write_rate: float, size: int) -> None:
         self.rates = (rate, write_rate)
-        self.tokens = [rate, write_rate]
+        self.least = 1.0 / size
+        self.share = min(1.0, 2.0 / size)
+        self.tokens = [rate * self.share, write_rate * self.share]
         self.last_us = steady_us()
+        self.cut_us = 0
         self.lock = threading.Lock()
 
     def take(self, writes: int) -> float:
@@ -68,26 +80,38 @@
             now_us = steady_us()
             passed_s = (now_us - self.last_us) / 1e6
             self.last_us = now_us
+            self.share = min(1.0, self.share + passed_s * self.GROWTH_PER_S)
             for i, rate in enumerate(self.rates):
-                self.tokens[i] = min(rate, self.tokens[i] + passed_s * rate)
-            need = (1.0, min(float(writes), self.rates[1]))
-            waits = [(need[i] - self.tokens[i]) / self.rates[i] for i in (0, 1) if need[i] > self.tokens[i]]
+                self.tokens[i] = min(rate * self.share, self.tokens[i] + passed_s * rate * self.share)
+            need = (1.0, min(float(writes), self.rates[1] * self.share))
+            waits = [(need[i] - self.tokens[i]) / (self.rates[i] * self.share)
+                     for i in (0, 1) if need[i] > self.tokens[i]]
             if waits:
                 return max(waits)
             self.tokens[0] -= need[0]
             self.tokens[1] -= need[1]
             return 0.0
 
+    def refused(self) -> None:
+        """The service answered 429."""
+        with self.lock:
+            now_us = steady_us()
+            if now_us > self.cut_us + 300_000:  # refusals of one moment count once
+                self.cut_us = now_us
+                self.share = max(self.least, self.share * self.CUT)
+
 
 class Pool:
-    """Threads that carry out calls and post their answers."""
+    """Threads that carry out calls, the most urgent first, and post their answers."""
 
     def __init__(self, name: str, threads: int, post: Callable[[Any], bool], budget: Budget | None = None,
                  most_idle: int = 64) -> None:
         self.post = post
         self.budget = budget
         self.most_idle = most_idle
-        self.calls: queue.Queue[tuple[Call, int]] = queue.Queue(maxsize=2000)
+        self.calls: queue.PriorityQueue[tuple[int, int, int, Call]] = queue.PriorityQueue()
+        self.order = itertools.count()
+        self.choosing = threading.Lock()
         self.idle: dict[str, list[tuple[int, Connection]]] = {}
         self.lock = threading.Lock()
         for number in range(threads):
@@ -95,38 +119,56 @@
 
     def submit(self, call: Call, address: str) -> None:
         call.target = address
-        try:
-            self.calls.put_nowait((call, steady_us() + call.timeout_us))
-        except queue.Full:
+        # The queue itself has no bound: threads put back what must wait, and would lock up at one.
+        if self.calls.qsize() >= MOST_CALLS:
             self.post(Answer(call.id, NOT_SENT))
+        else:
+            self.calls.put((call.urgency, next(self.order), steady_us() + call.timeout_us, call))
 
     def _run(self) -> None:
         while True:
-            call, deadline_us = self.calls.get()
+            entry = self._next()
             try:
-                answer = self._carry_out(call, deadline_us)
+                answer = self._carry_out(entry)
             except Exception:
-                log.exception("call to %s", call.target)
-                answer = Answer(call.id, UNKNOWN)
-            self.post(answer)
-
-    def _carry_out(self, call: Call, deadline_us: int) -> Answer:
-        while True:
-            wait_s = self.budget.take(call.writes) if self.budget else 0.0
-            left_s = (deadline_us - steady_us()) / 1e6
-            if left_s <= wait_s:
-                return Answer(call.id, NOT_SENT)
-            if wait_s > 0:
-                time.sleep(min(wait_s, left_s))
-                continue
-            connection = self._connection(call.target)
-            status, body = exchange(connection, call.method, call.path, call.body, max(left_s, 0.05))
-            if connection.sock is not None:
-                self._keep(call.target, connection)
-            if status == 429 and steady_us() + 300_000 < deadline_us:
-                time.sleep(0.2)  # not executed: others used the budget up
-                continue
-            return Answer(call.id, status, body)
+                log.exception("call to %s", entry[3].target)
+                answer = Answer(entry[3].id, UNKNOWN)
+            if answer is not None:
+                self.post(answer)
+
+    def _next(self) -> tuple[int, int, int, Call]:
+        """The most urgent call, once the budget has room for it.
+
+        While it waits, one that is more urgent may come, so the choice is made anew each time.
+        """
+        if self.budget is None:
+            return self.calls.get()
+        with self.choosing:
+            while True:
+                entry = self.calls.get()
+                wait_s = self.budget.take(entry[3].writes) if steady_us() < entry[2] else 0.0
+                if wait_s <= 0:
+                    return entry
+                self.calls.put(entry)
+                time.sleep(min(wait_s, 0.05))
+
+    def _carry_out(self, entry: tuple[int, int, int, Call]) -> Answer | None:
+        _, _, deadline_us, call = entry
+        left_s = (deadline_us - steady_us()) / 1e6
+        if left_s <= 0:
+            return Answer(call.id, NOT_SENT)
+        connection = self._connection(call.target)
+        status, body = exchange(connection, call.method, call.path, call.body, max(left_s, 0.05))
+        if connection.sock is not None:
+            self._keep(call.target, connection)
+        if status == 429:
+            if self.budget:
+                self.budget.refused()
+            if steady_us() + 300_000 < deadline_us:
+                time.sleep(0.1)  # not executed: others used the budget up
+                self.calls.put(entry)
+                return None
+        return Answer(call.id, status, body)
 
     def _connection(self, address: str) -> Connection:
         with self.lock:
@@ -140,6 +182,9 @@
         return Connection(host, port)
 
     def _keep(self, address: str, connection: Connection) -> None:
+        if not self.most_idle:
+            connection.close()
+            return
         with self.lock:
             if sum(map(len, self.idle.values())) >= self.most_idle:
                 oldest = min((a for a in self.idle if self.idle[a]), key=lambda a: self.idle[a][0][0])
