Machines whose services fit elsewhere are emptied; headroom counts service tasks, not jobs

Headroom counted one slot for each expected service, which now has up to 16 tasks. Change: once room has been spare for a while, the emptiest ordinary machine takes nothing new and its replicas move, a few a second, to machines of the same zone that have their image.

--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -11,6 +11,7 @@
 from quinceslip.coordination.context import SECOND, Context, TxnDone, micros
 from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.ownership import Ownership
+from quinceslip.coordination.packing import Packer
 from quinceslip.coordination.shard import Shard
 from quinceslip.coordination.state import Chunk, fits
 from quinceslip.protocol import messages as m
@@ -65,6 +66,7 @@
         self.next_delete_us = 0
         self.next_adopt_us = 0
         self.left_us: dict[str, int] = {}  # when a machine left the roster
+        self.packer = Packer(ctx, ownership)
         self.service_rooms: Callable[[], list[list[int]]] = list
         # Our part of the cloud's calls, leaving half for rentals and deletions.
         rate = ctx.settings.facts.cloud.rps / ctx.settings.facts.size
@@ -221,6 +223,8 @@
             for shard in list(self.shards.values()):
                 self._give_back(shard)
                 self._plan(shard)
+                slots, size = self._expected(shard)
+                self.packer.pack(shard, slots * size / max(1, len(self.service_rooms())))
 
     def _pursue(self) -> None:
         """Carry recorded intents through, those of an earlier owner among them."""
@@ -352,19 +356,12 @@
 
         The lowest shard that has services rents for all: what one shard lacks, another may have.
         """
-        newest: dict[int, int] = {}
-        recent = 0
-        for job in self.ctx.view.by_kind["job"].values():
-            if job.spec is not None and job.spec.service:
-                newest[job.shard] = newest.get(job.shard, 0) + 1
-                recent += self.ctx.wall_us - job.at_us < HEADROOM_WINDOW_US
         services = [c for c in shard.chunks.values() if c.spec.service]
-        if not services or min(newest, default=-1) != shard.index:
+        homes = [job.shard for job in self.ctx.view.open.values() if job.spec is not None and job.spec.service]
+        if not services or min(homes, default=-1) != shard.index:
             return
         chunk = max(services, key=lambda c: c.spec.cpus)
-        boots = [t.boot_s for t in self.ctx.types.values()]
-        need = 1 + math.ceil(recent * SECOND / HEADROOM_WINDOW_US * min(boots))
-        size = max(chunk.spec.cpus, 0.01)
+        need, size = self._expected(shard)
         slots = sum(int(room // size) for rooms in self.service_rooms() for room in rooms)
         slots += sum(int(room // size) for room in coming)
         if slots < need:
@@ -372,6 +369,17 @@
             # Any zone will do: the zones of this running service say nothing of those to come.
             self._rent_for(shard, chunk, False, (need - slots) * size, need - slots, anywhere=True)
 
+    def _expected(self, shard: Shard) -> tuple[int, float]:
+        """Service tasks to expect while a machine boots, one job's at least, and the CPUs of one."""
+        jobs = [job for job in self.ctx.view.open.values() if job.spec is not None and job.spec.service]
+        if not jobs:
+            return (0, 0.0)
+        recent = [j.tasks for j in jobs if self.ctx.wall_us - j.at_us < HEADROOM_WINDOW_US]
+        size = max(max(j.spec.cpus for j in jobs if j.spec is not None), 0.01)
+        boot_s = min((t.boot_s for t in self.ctx.types.values()), default=0.0)
+        typical = sum(j.tasks for j in jobs) / len(jobs)
+        return (math.ceil(typical + sum(recent) * SECOND / HEADROOM_WINDOW_US * boot_s), size)
+
     def _absorbed(self, shard: Shard, chunk: Chunk) -> float:
         """CPUs of waiting work that machines already here get to before a new one could boot."""
         kinds = [t.boot_s for t in self.ctx.types.values()]
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -119,9 +119,9 @@
         self.loaded = False
         self.ledger = 0
         self.stamps: dict[str, int] = {}
-        self.values: dict[str, Any] = {}
         self.by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in KINDS}
         self.dropped: dict[str, int] = {}
+        self.open: dict[str, JobRecord] = {}  # jobs that are not over
 
     def reset(self, items: list[Item], ledger: int) -> list[str]:
         """Take a full listing; returns every key that changed."""
@@ -162,10 +162,14 @@
         if stamp <= self.stamps.get(key, 0) or stamp <= self.dropped.get(key, 0):
             return False
         self.stamps[key] = stamp
-        self.values[key] = value
         kind, name = self.split(key)
         if kind in self.by_kind:
             self.by_kind[kind][name] = value
+        if kind == "job":
+            if value.state == QUEUED:
+                self.open[name] = value
+            else:
+                self.open.pop(name, None)
         return True
 
     def drop(self, key: str, stamp: int) -> bool:
@@ -176,10 +180,11 @@
     def _remove(self, key: str, stamp: int) -> bool:
         self.dropped[key] = stamp
         known = self.stamps.pop(key, None) is not None
-        self.values.pop(key, None)
         kind, name = self.split(key)
         if kind in self.by_kind:
             self.by_kind[kind].pop(name, None)
+        if kind == "job":
+            self.open.pop(name, None)
         return known
 
     @staticmethod
