--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -23,6 +23,7 @@
     def __init__(self, state: ShardState) -> None:
         self.state = state
         self.ctx = state.ctx
+        self.wait_s = {o.job_class: o.within_s for o in state.ctx.settings.facts.objectives if o.kind == "wait"}
         self.looked = 0  # workers looked at so far: the work of placement, for tests and profiles
 
     # Who may get what.
@@ -241,12 +242,16 @@
         resident = worker.service_cpus
         if spec.service:
             # Services stay for long: where they leave least besides themselves, whatever else
-            # runs there now, the other machines can be returned.
+            # runs there now, the other machines can be returned. But not where the fetch alone
+            # takes longer than users want to wait.
             size = worker.type.cpus if worker.type else 0.0
-            return (uncached, size - resident - spec.cpus)
+            fetch_s = spec.image_gb / max(worker.type.fetch_gb_per_s, 0.01) if worker.type and uncached else 0.0
+            return (float(fetch_s > self.wait_s.get(spec.job_class, fetch_s)), uncached, size - resident - spec.cpus)
         # Work that may use spot machines leaves the others to work that may not, and of those
-        # prefers the ones that services keep rented anyway.
-        return (float(spec.spot and not worker.spot), float(not resident and not worker.spot), uncached)
+        # prefers the ones that services keep rented anyway. Idle machines stay idle while others
+        # have room, so that they can be returned.
+        return (float(spec.spot and not worker.spot), float(not resident and not worker.spot),
+                float(not worker.running), uncached)
 
     def _make_room(self, chunk: Chunk, workers: list[Worker], zones: set[str] | None) -> Worker | None:
         """Preempt lower priorities. Production takes the place at once; others wait for it."""
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -51,7 +51,7 @@
                 worker.answered_us = self.taken_us + grace_us
                 if record.used:
                     self.unresolved.add(name)
-        for uid in list(ctx.view.by_kind["job"]):
+        for uid in list(ctx.view.open):
             self.recorder.sync(uid, inherited=True)
         self._resolve()
 
@@ -202,6 +202,8 @@
                 attempt.running_us = self.ctx.now_us
             worker.images.pop(attempt.spec.image, None)
             worker.images[attempt.spec.image] = attempt.spec.image_gb
+            while worker.type and len(worker.images) > 1 and sum(worker.images.values()) > worker.type.cache_gb > 0:
+                del worker.images[next(iter(worker.images))]  # the machine keeps the most recently used
         attempt.state = task.state
         if task.state != m.EXITED:
             return
