Refused kinds of machines are told to peers and rest longer; rentals go on at once

A rental of 50 was asked for four times over, 15 names a transaction. Change: a refusal rests 12 to 48 s, travels with the heartbeat, ends when a machine of its kind is returned; the next kind is asked for as soon as the answer is there; names are kept until all are on the roster; cloud calls keep to a learnt share, lists last.

--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -179,7 +179,8 @@
             slots, rate = shard.station()
             loads.append(frames.ShardLoad(shard.index, shard.waiting(), slots, shard.room(), rate,
                                          shard.service_room()))
-        beat = frames.Beat(self.ctx.settings.label, self.state_ok(), self.ctx.view.ledger, loads)
+        beat = frames.Beat(self.ctx.settings.label, self.state_ok(), self.ctx.view.ledger, loads,
+                           self.provision.refusals())
         self.ctx.out.append(ToPeers(frames.pack_beat(beat)))
 
     def _heard(self, beat: frames.Beat) -> None:
@@ -188,6 +189,7 @@
         if last is None or now_us - last[0] > 4 * SECOND:
             self.peer_since[beat.label] = now_us
         self.peers[beat.label] = (now_us, beat)
+        self.provision.heard_refusals(beat.refusals)
 
     def _alive(self, label: str) -> bool:
         known = self.peers.get(label)
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -4,7 +4,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -13,13 +13,18 @@
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.packing import Packer
 from quinceslip.coordination.shard import Shard
-from quinceslip.coordination.state import Chunk, fits
+from quinceslip.coordination.state import Chunk, Worker, fits
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
 
 log = logging.getLogger(__name__)
 
 HIRE_MOST = 50
+#: a kind of machine that was refused is not asked for again so soon; twice as long each time, up to
+REFUSED_US = 12 * SECOND
+REFUSED_MOST_US = 48 * SECOND
+#: machine type, zone, spot
+Kind = tuple[str, str, bool]
 DELETE_MOST = 100
 #: a deleted machine costs at least this long (PROTOCOL)
 LEAST_PAID_US = 60 * SECOND
@@ -45,6 +50,12 @@
     recorded: bool = False
     asking: bool = False
     next_us: int = 0
+    names: list[str] | None = None  # what was rented, once the cloud has answered
+    enrolled: set[str] = field(default_factory=set)
+
+    def coming(self) -> int:
+        """Machines that may come of it and are not on the roster yet."""
+        return self.record.count if self.names is None else len(self.names) - len(self.enrolled)
 
 
 class Provisioner:
@@ -61,7 +72,7 @@
         self.next_plan_us = 0
         self.hires: dict[str, Hire] = {}
         self.counter = 0
-        self.blocked: dict[tuple[str, str, bool], int] = {}
+        self.blocked: dict[Kind, tuple[int, int]] = {}  # until when, and for how long
         self.deleting: set[str] = set()
         self.next_delete_us = 0
         self.next_adopt_us = 0
@@ -108,7 +119,7 @@
                 stamp = self.ctx.view.stamp(records.TYPES)
                 self.ctx.txn({records.TYPES: stamp}, {records.TYPES: (types, None)}, [], lambda s, f: None)
 
-        self.ctx.call("cloud", "GET", m.PATH_FLAVORS, None, done, timeout_us=3 * SECOND)
+        self.ctx.call("cloud", "GET", m.PATH_FLAVORS, None, done, timeout_us=3 * SECOND, urgency=Urgency.REST)
 
     def roster_changed(self, name: str) -> None:
         if name in self.ctx.view.by_kind["roster"]:
@@ -124,7 +135,8 @@
         found: dict[str, m.Host] = {}
 
         def page(after: str) -> None:
-            self.ctx.call("cloud", "GET", m.hosts_path(after), None, done, timeout_us=3 * SECOND)
+            self.ctx.call("cloud", "GET", m.hosts_path(after), None, done, timeout_us=3 * SECOND,
+                          urgency=Urgency.REST)
 
         def done(status: int, body: bytes) -> None:
             try:
@@ -235,7 +247,10 @@
             if hire.shard not in self.shards or (hire.recorded and hire.name not in self.ctx.view.by_kind["hire"]):
                 del self.hires[hire.name]
             elif hire.recorded and not hire.asking and self.ctx.now_us >= hire.next_us:
-                self._ask_hire(hire)
+                if hire.names is None:
+                    self._ask_hire(hire)
+                else:
+                    self._enroll(hire)
 
     def _ask_hire(self, hire: Hire) -> None:
         hire.asking = True
@@ -256,22 +271,27 @@
             else:
                 return  # 429, trouble or no answer: the same name again later
             if len(names) < record.count:
-                self.blocked[(record.type, record.zone, record.spot)] = self.ctx.now_us + 12 * SECOND
+                self._refused((record.type, record.zone, record.spot))
             log.info("hire %s: %d of %d %s in %s%s", hire.name, len(names), record.count, record.type,
                      record.zone, " (spot)" if record.spot else "")
-            self._enroll(hire, names)
+            hire.names = names
+            self.next_plan_us = self.ctx.now_us  # what is still lacking is asked for elsewhere at once
+            self._enroll(hire)
 
         body = m.hire_request(hire.name, record.type, record.zone, record.spot, record.count)
         self.ctx.call("cloud", "POST", m.PATH_HOSTS, body, done, timeout_us=4 * SECOND)
 
-    def _enroll(self, hire: Hire, names: list[str]) -> None:
-        if not self.ownership.owns(hire.shard):
+    def _enroll(self, hire: Hire) -> None:
+        """Put rented machines on the roster; the intent goes with the last of them."""
+        if not self.ownership.owns(hire.shard) or hire.names is None:
             return
         record = hire.record
         roster = self.ctx.view.by_kind["roster"]
+        hire.enrolled |= {n for n in hire.names if n in roster}
+        left = [n for n in hire.names if n not in hire.enrolled]
         entry = records.RosterRecord(hire.shard, record.type, record.zone, record.spot)
-        fresh = [n for n in names if n not in roster][: self.ctx.settings.facts.state.txn_ops - 1]
-        rest = any(n not in roster and n not in fresh for n in names)
+        fresh = left[: self.ctx.settings.facts.state.txn_ops - 1]
+        rest = len(left) > len(fresh)
         conditions = self.ownership.condition(hire.shard)
         conditions |= {records.roster_key(n): 0 for n in fresh}
         puts = {records.roster_key(n): (entry, None) for n in fresh}
@@ -279,12 +299,40 @@
 
         def done(status: int, failed: list[str]) -> None:
             hire.asking = False
-            if status == 200 and rest:
-                hire.next_us = self.ctx.now_us
+            if status == 200:
+                hire.enrolled.update(fresh)
+                if rest:
+                    hire.next_us = self.ctx.now_us
 
         self.ctx.txn(conditions, puts, [] if rest else [records.hire_key(hire.name)], done,
                      Urgency.ROSTER)
 
+    # What the cloud refuses.
+
+    def _refused(self, kind: Kind) -> None:
+        """A kind of machine that was refused is left alone, longer each time."""
+        until_us, pause_us = self.blocked.get(kind, (0, 0))
+        pause_us = REFUSED_US if self.ctx.now_us > until_us + REFUSED_MOST_US else min(2 * pause_us, REFUSED_MOST_US)
+        self.blocked[kind] = (self.ctx.now_us + pause_us, pause_us)
+
+    def refusals(self) -> list[tuple[str, str, bool, int]]:
+        """What peers need not ask for, each with the microseconds that are left."""
+        now_us = self.ctx.now_us
+        return [(*kind, until_us - now_us) for kind, (until_us, _) in self.blocked.items() if until_us > now_us]
+
+    def heard_refusals(self, refusals: list[tuple[str, str, bool, int]]) -> None:
+        for label, zone, spot, left_us in refusals:
+            kind = (label, zone, spot)
+            until_us, pause_us = self.blocked.get(kind, (0, REFUSED_US))
+            left_us = min(left_us, REFUSED_MOST_US)
+            if self.ctx.now_us + left_us > until_us + SECOND:
+                self.blocked[kind] = (self.ctx.now_us + left_us, max(pause_us, REFUSED_US))
+
+    def _room_again(self, worker: Worker | None) -> None:
+        """A machine that is returned makes room for one of its kind."""
+        if worker is not None and worker.type is not None:
+            self.blocked.pop((worker.type.label, worker.zone, worker.spot), None)
+
     def _hire(self, shard: Shard, machine_type: str, zone: str, spot: bool, count: int) -> None:
         self.counter += 1
         # The term is this owner's alone and the counter is never reset, so no name comes twice.
@@ -315,7 +363,7 @@
         for hire in self.hires.values():
             kind = self.ctx.types.get(hire.record.type)
             if hire.shard == shard.index and kind:
-                for _ in range(hire.record.count):
+                for _ in range(hire.coming()):
                     coming.append((hire.record.zone, hire.record.spot, kind,
                                    [kind.cpus, kind.gpus, kind.memory_gb]))
         lacking: dict[tuple[str, bool, bool], tuple[Chunk, float, int]] = {}
@@ -413,7 +461,7 @@
                 for cheap in ([True, False] if spot else [False]):
                     if not cheap and dear <= 0:
                         continue
-                    if self.blocked.get((kind.label, zone, cheap), 0) > self.ctx.now_us:
+                    if self.blocked.get((kind.label, zone, cheap), (0, 0))[0] > self.ctx.now_us:
                         continue
                     price = (kind.spot_price if cheap else kind.price) / (per_machine * max(spec.cpus, 0.01))
                     options.append((price, in_zone[zone], kind.label, zone, cheap, machines if cheap else dear))
@@ -501,6 +549,7 @@
             self.deleting.difference_update(names)
             if status == 200:
                 for name in names:
+                    self._room_again(shard.workers.get(name))
                     self._forget(shard, name, "returned")
             else:
                 self.next_delete_us = self.ctx.now_us + SECOND
--- a/quinceslip/protocol/frames.py
+++ b/quinceslip/protocol/frames.py
@@ -1,14 +1,16 @@
 """Frames between controllers, packed by hand with `struct`."""
 
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 MAGIC = b"QS"
-VERSION = 2
+VERSION = 3
 HEADER = struct.Struct("!2sBBH")  # magic, version, kind, length of the payload
-BEAT = struct.Struct("!16sBqH")  # label, flags, ledger, number of shard loads
+BEAT = struct.Struct("!16sBqHH")  # label, flags, ledger, number of shard loads, number of refusals
 LOAD = struct.Struct("!HIIIdB")  # shard, waiting, slots, room, service rate, number of zones
 ZONE = struct.Struct("!I")  # CPUs that services could have in one zone
+REFUSAL = struct.Struct("!32s32sBI")  # machine type, zone, 1 for spot, milliseconds left
+MOST_REFUSALS = 32
 KIND_BEAT = 1
 FLAG_STATE_OK = 1
 MAX_PAYLOAD = 4096
@@ -36,16 +38,23 @@
     state_ok: bool
     ledger: int
     loads: list[ShardLoad]
+    #: what the cloud refused lately: machine type, zone, spot, microseconds left
+    refusals: list[tuple[str, str, bool, int]] = field(default_factory=list)
 
 
 def pack_beat(beat: Beat) -> bytes:
     label = beat.label.encode()[:16]
-    body = BEAT.pack(label, FLAG_STATE_OK if beat.state_ok else 0, beat.ledger, len(beat.loads))
+    # A name that does not fit would come out as another one.
+    refusals = [r for r in beat.refusals if max(len(r[0].encode()), len(r[1].encode())) <= 32][:MOST_REFUSALS]
+    body = BEAT.pack(label, FLAG_STATE_OK if beat.state_ok else 0, beat.ledger, len(beat.loads),
+                     len(refusals))
     for load in beat.loads:
         body += LOAD.pack(load.shard, min(load.waiting, 2**32 - 1), load.slots, load.room, load.rate,
                           len(load.service_room))
         for cpus in load.service_room:
             body += ZONE.pack(cpus)
+    for machine_type, zone, spot, left_us in refusals:
+        body += REFUSAL.pack(machine_type.encode(), zone.encode(), spot, left_us // 1000)
     return HEADER.pack(MAGIC, VERSION, KIND_BEAT, len(body)) + body
 
 
@@ -61,7 +70,7 @@
 
 def read_beat(body: bytes) -> Beat:
     try:
-        label, flags, ledger, count = BEAT.unpack_from(body)
+        label, flags, ledger, count, refused = BEAT.unpack_from(body)
         offset = BEAT.size
         loads = []
         for _ in range(count):
@@ -70,8 +79,13 @@
             rooms = [ZONE.unpack_from(body, offset + i * ZONE.size)[0] for i in range(zones)]
             offset += zones * ZONE.size
             loads.append(ShardLoad(shard, waiting, slots, room, rate, rooms))
+        refusals = []
+        for _ in range(refused):
+            kind, place, spot, left_ms = REFUSAL.unpack_from(body, offset)
+            offset += REFUSAL.size
+            refusals.append((kind.rstrip(b"\0").decode(), place.rstrip(b"\0").decode(), bool(spot), left_ms * 1000))
         if len(body) != offset:
             raise FrameError("length does not match the number of loads")
-        return Beat(label.rstrip(b"\0").decode(), bool(flags & FLAG_STATE_OK), ledger, loads)
+        return Beat(label.rstrip(b"\0").decode(), bool(flags & FLAG_STATE_OK), ledger, loads, refusals)
     except (struct.error, UnicodeDecodeError) as error:
         raise FrameError(str(error)) from error
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -38,7 +38,7 @@
         budget = Budget(facts.state.rps, facts.state.write_rps, facts.size)
         self.state = Pool("state", STATE_THREADS, post, budget)
         self.holds = Pool("hold", 2, post)  # renewals never wait behind anything else
-        self.cloud = Pool("cloud", 4, post)
+        self.cloud = Pool("cloud", 4, post, Budget(facts.cloud.rps, facts.cloud.rps, facts.size))
         # A silent worker keeps a thread until the time limit. Probes are mostly of such workers, so
         # they have threads of their own, and commands to healthy ones never wait behind them.
         self.workers = Pool("worker", WORKER_THREADS, post, most_idle=facts.limits.max_sockets // 8)
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -88,7 +88,8 @@
 
 
 def _frames(tmp: Path) -> None:
-    beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6])])
+    beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6])],
+                       [("aisle-mid", "erie-east", True, 12_000_000)])
     data = frames.pack_beat(beat)
     kind, length = frames.read_header(data[: frames.HEADER.size])
     assert kind == frames.KIND_BEAT and frames.read_beat(data[frames.HEADER.size:]) == beat and length
