Overloaded shards put back the largest jobs, so that the fewest are late

Jobs that are late anyway went last already; now so do those that would make others late, the largest first (Moore and Hodgson), by the model's wait: waiting over m u. The order stays first come, first served among the rest.

--- /dev/null
+++ b/quinceslip/coordination/foresight.py
@@ -0,0 +1,61 @@
+"""Which waiting jobs can still be on time, and which should wait for the sake of the others.
+
+First come, first served stays the order among jobs that can be on time. When a shard has more
+waiting than it can finish in time, the fewest jobs are late if, walking through the queue, each time
+a job would be late the largest one so far is put back (Moore and Hodgson's rule). The wait ahead of
+a job is that of the model: waiting tasks over m u.
+"""
+
+import heapq
+
+from quinceslip.coordination.context import SECOND, micros
+from quinceslip.coordination.state import Chunk
+
+#: estimates are often wrong by half: a job is only given up on when this part of its run time is too long
+LATE_PART = 0.5
+
+
+def foresee(chunks: list[Chunk], cpus_per_s: float, wall_us: int) -> None:
+    """Set `late` of every waiting chunk, given the CPUs that tasks set free in a second."""
+    ahead = 0.0  # CPUs that waiting tasks of higher priority will take first
+    for priority in sorted({c.spec.priority for c in chunks}):
+        rest = [c for c in chunks if c.spec.priority == priority]
+        level = 0
+        while rest:
+            kept, rest, ahead = _on_time(rest, level, cpus_per_s, wall_us, ahead)
+            for chunk in kept:
+                chunk.late = level
+            level += 1
+
+
+def _due(chunk: Chunk, level: int) -> int | None:
+    return chunk.due_us[level] if level < len(chunk.due_us) else None
+
+
+def _on_time(chunks: list[Chunk], level: int, cpus_per_s: float, wall_us: int,
+             ahead: float) -> tuple[list[Chunk], list[Chunk], float]:
+    """Those that can make their due time of this level, those put back, and the CPUs ahead after."""
+    last = all(level >= len(c.due_us) for c in chunks)
+    chunks = sorted(chunks, key=lambda c: (_due(c, level) is None, _due(c, level) or c.at_us, c.uid))
+    kept: list[tuple[float, str, Chunk]] = []
+    back: list[Chunk] = []
+    for chunk in chunks:
+        size = max(chunk.ready() * chunk.spec.cpus, 0.01)
+        heapq.heappush(kept, (-size, chunk.uid, chunk))
+        ahead += size
+        due_us = _due(chunk, level)
+        if due_us is None or last:
+            continue
+        run_us = micros(LATE_PART * chunk.spec.estimate_s)
+        if wall_us + run_us > due_us:
+            # Late whatever goes before it.
+            kept.remove((-size, chunk.uid, chunk))
+            heapq.heapify(kept)
+        elif wall_us + int(ahead / cpus_per_s * SECOND) + run_us > due_us:
+            negative, _, chunk = heapq.heappop(kept)
+            size = -negative
+        else:
+            continue
+        ahead -= size
+        back.append(chunk)
+    return [c for _, _, c in kept], back, ahead
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -1,7 +1,6 @@
 """Keeps the chunks of a shard and their records in the state service in line with each other."""
 
 import logging
-import math
 from typing import Any
 
 import msgspec
@@ -72,13 +71,19 @@
             state.chunks.pop(uid)
         self._finalise(uid)
 
-    def _due_us(self, spec: m.JobSpec, at_us: int) -> int:
-        """When the users want a job done: its own deadline, or the aim of its class."""
-        due_s = math.inf if spec.deadline_s is None else spec.deadline_s
+    def _due_us(self, spec: m.JobSpec, at_us: int) -> list[int]:
+        """When the users want a job done: its own deadline and its multiples, the aims of its class."""
+        if spec.service:
+            return []
+        dues_s = set() if spec.deadline_s is None else {spec.deadline_s}
         for objective in self.ctx.settings.facts.objectives:
-            if objective.job_class == spec.job_class and objective.kind == "finished" and objective.within_s:
-                due_s = min(due_s, objective.within_s)
-        return 0 if spec.service or not math.isfinite(due_s) else at_us + micros(due_s)
+            if objective.job_class != spec.job_class:
+                continue
+            if objective.kind == "finished" and objective.within_s:
+                dues_s.add(objective.within_s)
+            elif objective.kind == "deadline" and spec.deadline_s is not None:
+                dues_s.add(spec.deadline_s * objective.times)
+        return [at_us + micros(d) for d in sorted(dues_s)]
 
     def _end_job(self, chunk: Chunk) -> None:
         job = self.ctx.view.job(chunk.uid)
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -16,6 +16,7 @@
 from quinceslip.coordination.commands import Commander
 from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context, micros
 from quinceslip.coordination.effects import Urgency
+from quinceslip.coordination.foresight import foresee
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.placement import Placement
 from quinceslip.coordination.recording import Recorder
@@ -27,6 +28,7 @@
 
 #: workers are looked at for silence so often
 SWEEP_US = SECOND // 2
+FORESIGHT_US = SECOND
 
 
 class Shard(ShardState):
@@ -38,6 +40,7 @@
         self.finished: list[float] = []  # run times of finished tasks, newest last
         self.moved_us: dict[str, int] = {}
         self.next_sweep_us = 0
+        self.next_foresight_us = 0
         self.first_term = term  # a worker that shows it, or a later one, is past its earlier owners
         self.to_arm: set[str] = set()
         self.pausing: set[str] = set()  # jobs with tasks that pause after a failure
@@ -290,6 +293,9 @@
         if now_us >= self.next_sweep_us:
             self.next_sweep_us = now_us + SWEEP_US
             self._sweep()
+        if now_us >= self.next_foresight_us:
+            self.next_foresight_us = now_us + FORESIGHT_US
+            self._foresee()
         self.recorder.flush()
         for uid in list(self.pausing):
             chunk = self.chunks.get(uid)
@@ -317,6 +323,16 @@
                 worker.next_probe_us = now_us + SECOND // 2
                 self.commander.probe(worker)
 
+    def _foresee(self) -> None:
+        queue = self.ordered()
+        if queue:
+            slots, rate = self.station()
+            cpus, _ = self.mean_task()
+            booting = sum(w.type.cpus for w in self.workers.values()
+                          if w.type is not None and not w.heard_us and not w.deleting)
+            # Of what is still booting, half is there in time for the usual job.
+            foresee(queue, max((slots * cpus + booting / 2) * rate, 0.01), self.ctx.wall_us)
+
     def settle(self) -> None:
         """After a batch of messages: place what waits, tell workers."""
         if self.to_arm:
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from quinceslip.coordination.context import SECOND, Context, micros
+from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.protocol import messages as m
 
@@ -17,8 +17,6 @@
 
 #: attempts of one term; the term sits above, so attempts always rise
 ATTEMPTS_PER_TERM = 2**24
-#: estimates are often wrong by half: only a job with less time left than this part is given up on
-LATE_PART = 0.5
 EPSILON = 1e-6
 
 
@@ -176,15 +174,15 @@
     blamed: set[str] = field(default_factory=set)  # workers on which tasks of it failed
 
     zones: set[str] = field(default_factory=set)  # empty: any
-    due_us: int = 0  # wall clock by which the users want it done; 0: no aim
+    due_us: list[int] = field(default_factory=list)  # wall clocks by which the users want it done, earliest first
+    late: int = 0  # how many of these it is expected to miss
 
-    def order(self, wall_us: int) -> tuple[int, bool, int, str]:
+    def order(self) -> tuple[int, int, int, str]:
         """Priority, then first come, first served; what cannot be on time any more comes last.
 
         Plain first come, first served lets one late job make every later one late as well.
         """
-        late = bool(self.due_us) and wall_us + micros(LATE_PART * self.spec.estimate_s) > self.due_us
-        return (self.spec.priority, late, self.at_us, self.uid)
+        return (self.spec.priority, self.late, self.at_us, self.uid)
 
     def ready(self) -> int:
         """Waiting tasks that do not pause after a failure."""
@@ -269,8 +267,7 @@
         """Chunks with waiting tasks, in the order in which they are served."""
         for uid in [u for u, c in self.queued.items() if not c.pending or self.chunks.get(u) is not c]:
             del self.queued[uid]
-        wall_us = self.ctx.wall_us
-        return sorted(self.queued.values(), key=lambda c: c.order(wall_us))
+        return sorted(self.queued.values(), key=Chunk.order)
 
     def waiting(self) -> int:
         return sum(len(c.pending) for c in self.queued.values() if self.chunks.get(c.uid) is c)
