--- a/quinceslip/coordination/commands.py
+++ b/quinceslip/coordination/commands.py
@@ -18,6 +18,9 @@
 
 log = logging.getLogger(__name__)
 
+#: so many questions in a row without an answer make a silent machine a dead one
+PROBES = 2
+
 
 class Commander:
     def __init__(self, state: ShardState, recorder: Recorder,
@@ -130,6 +133,9 @@
             worker.probing = False
             if status != 200:
                 worker.deaf += 1
+                if worker.service_tasks:
+                    worker.next_probe_us = self.ctx.now_us
+                self.state.alarm = self.state.alarm or worker.deaf >= PROBES
             elif self.state.workers.get(worker.name) is worker:
                 self._direct_report(worker, body)
                 if worker.token < self.state.term and not worker.busy and self.state.ownership.entitled():
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -15,6 +15,11 @@
 
 log = logging.getLogger(__name__)
 
+#: fetches may be a third slower than their type's rate, and a start takes a moment besides
+FETCH_PART = 0.7
+#: what a fetch, and one that is too slow, weigh against CPU seconds lost by preemption
+UNCACHED_COST = 30.0
+SLOW_COST = 300.0
 #: what found no place in this pass: constraints, then CPUs, GPUs and memory
 Failed = dict[tuple[object, ...], list[tuple[float, float, float]]]
 
@@ -179,8 +184,10 @@
             name = f"{chunk.uid}/{index}"
             worker = next((w for w in self._by_preference(chunk, roomy, zones)
                            if name not in w.attempts and name not in w.reported), None)
-            if worker is None and whole:
-                worker = self._make_room(chunk, workers, zones)
+            if whole and (worker is None or (spec.service and self.slow_fetch(worker, spec))):
+                # Room that is free but slow to fetch is only second to room that can be made.
+                quick = workers if worker is None else [w for w in workers if not self.slow_fetch(w, spec)]
+                worker = self._make_room(chunk, quick, zones) or worker
             if worker is None:
                 self._hopeless(chunk, zones, failed, True)
                 break
@@ -245,14 +252,20 @@
             # runs there now, the other machines can be returned. But not where the fetch alone
             # takes longer than users want to wait.
             size = worker.type.cpus if worker.type else 0.0
-            fetch_s = spec.image_gb / max(worker.type.fetch_gb_per_s, 0.01) if worker.type and uncached else 0.0
-            return (float(fetch_s > self.wait_s.get(spec.job_class, fetch_s)), uncached, size - resident - spec.cpus)
+            return (float(self.slow_fetch(worker, spec)), uncached, size - resident - spec.cpus)
         # Work that may use spot machines leaves the others to work that may not, and of those
         # prefers the ones that services keep rented anyway. Idle machines stay idle while others
         # have room, so that they can be returned.
         return (float(spec.spot and not worker.spot), float(not resident and not worker.spot),
                 float(not worker.running), uncached)
 
+    def slow_fetch(self, worker: Worker, spec: m.JobSpec) -> bool:
+        """Whether the fetch of its image alone takes longer than users want to wait for a start."""
+        within_s = self.wait_s.get(spec.job_class)
+        if within_s is None or worker.type is None or spec.image in worker.images:
+            return False
+        return spec.image_gb / max(worker.type.fetch_gb_per_s, 0.01) > FETCH_PART * within_s
+
     def _make_room(self, chunk: Chunk, workers: list[Worker], zones: set[str] | None) -> Worker | None:
         """Preempt lower priorities. Production takes the place at once; others wait for it."""
         spec = chunk.spec
@@ -288,7 +301,8 @@
                 ran_s = (self.ctx.now_us - victim.running_us) / SECOND if victim.running_us else 0.0
                 at_risk_s = min(ran_s, victim.spec.checkpoint_s) if victim.spec.checkpoint_s else ran_s
                 lost += at_risk_s * victim.spec.cpus
-            cost = lost + 30.0 * (spec.image not in worker.images)
+            cost = lost + UNCACHED_COST * (spec.image not in worker.images) \
+                + SLOW_COST * self.slow_fetch(worker, spec)
             if fits((room[0], room[1], room[2]), spec) and (best is None or cost < best[0]):
                 best = (cost, worker, chosen)
         if best is None:
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from quinceslip.coordination.commands import PROBES
 from quinceslip.coordination.context import SECOND, Context, TxnDone, micros
 from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.ownership import Ownership
@@ -34,8 +35,6 @@
 LATE_BOOT = 1.6
 #: services that came in this window tell how many to expect
 HEADROOM_WINDOW_US = 120 * SECOND
-#: so many questions in a row without an answer make a silent machine a dead one
-PROBES = 2
 #: a machine that died is listed as running for about this long (PROTOCOL)
 DEAD_LISTED_US = 30 * SECOND
 
@@ -230,6 +229,10 @@
             return
         self._adopt_listed()
         self._pursue()
+        for shard in list(self.shards.values()):
+            if shard.alarm:
+                shard.alarm = False
+                self._give_back(shard)
         if now_us >= self.next_plan_us:
             self.next_plan_us = now_us + SECOND
             for shard in list(self.shards.values()):
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -29,6 +29,8 @@
 #: workers are looked at for silence so often
 SWEEP_US = SECOND // 2
 FORESIGHT_US = SECOND
+#: a machine with services that has not been heard of for so long is asked
+SERVICE_PROBE_US = 3 * SECOND // 2
 
 
 class Shard(ShardState):
@@ -203,6 +205,8 @@
         if task.state != m.PULLING and task.state != m.EXITED:
             if not attempt.running_us:
                 attempt.running_us = self.ctx.now_us
+                log.debug("%s runs on %s (%s) after %.1f s", attempt.name, worker.name,
+                          worker.type.label if worker.type else "?", (self.ctx.now_us - attempt.sent_us) / SECOND)
             worker.images.pop(attempt.spec.image, None)
             worker.images[attempt.spec.image] = attempt.spec.image_gb
             while worker.type and len(worker.images) > 1 and sum(worker.images.values()) > worker.type.cache_gb > 0:
@@ -318,8 +322,11 @@
                 worker.idle_us = now_us
             silent_us = now_us - max(worker.heard_us, self.taken_us)
             inherited = worker.name in self.unresolved
+            # Replicas that stand still are noticed at once, so their machines are asked early.
+            patience_us = min(self.ctx.timing.probe_us, SERVICE_PROBE_US) if worker.service_tasks \
+                else self.ctx.timing.probe_us
             if not worker.probing and worker.endpoint and now_us >= worker.next_probe_us and (inherited or (
-                    worker.attempts and worker.heard_us and silent_us > self.ctx.timing.probe_us)):
+                    worker.attempts and worker.heard_us and silent_us > patience_us)):
                 worker.next_probe_us = now_us + SECOND // 2
                 self.commander.probe(worker)
 
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -204,6 +204,7 @@
         self.unresolved: set[str] = set()
         self.next_raise_us = 0
         self.dirty = True
+        self.alarm = False  # some worker has just been found dead
         self.to_tell: set[str] = set()  # workers with commands that have not gone out
         self.queued: dict[str, Chunk] = {}  # chunks that have had waiting tasks lately
         self.there: dict[str, set[Attempt]] = {}  # what of a job may still be on machines
