Rentals count on present slots only for what arrivals leave of them

Absorbed is now 1 - rate / total m u, between 0.05 and 0.4; the rate counts arrays only, as m and u do.

--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -470,7 +470,8 @@
 
         def done(status: int, failed: list[str]) -> None:
             if status == 200:
-                self.accepted_us.append((ctx.now_us, spec.tasks))
+                if not spec.service:  # they never finish, and are no part of m and u either
+                    self.accepted_us.append((ctx.now_us, spec.tasks))
                 log.debug("accepted %s: %d tasks of %s for shard %d", uid, spec.tasks, spec.job_class, shard)
                 ctx.reply(request, 201, m.job_answer(uid, m.QUEUED))
             elif status == 409:
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -31,6 +31,8 @@
 LEAST_PAID_US = 60 * SECOND
 #: part of the work that would be served during a boot which no machine is rented for
 ABSORBED = 0.4
+#: the same where arrivals alone keep the present machines busy
+LEAST_ABSORBED = 0.05
 #: a boot that takes so many times as long as usual is not counted on
 LATE_BOOT = 1.6
 #: services that came in this window tell how many to expect
@@ -396,7 +398,7 @@
                     spec.cpus, 0.01), (known[2] if known else 0) + waiting)
         for (_, spot, service), (chunk, cpus, count) in lacking.items():
             if not service:
-                cpus = cpus * self.ctx.tuning.hire_fraction - self._absorbed(shard, chunk)
+                cpus = cpus * self.ctx.tuning.hire_fraction - self._absorbed(shard, self._spare_part())
             if cpus > 0:
                 self._rent_for(shard, chunk, spot, cpus, count)
         if not any(service for _, _, service in lacking):
@@ -431,12 +433,21 @@
         typical = sum(j.tasks for j in jobs) / len(jobs)
         return (math.ceil(typical + sum(recent) * SECOND / HEADROOM_WINDOW_US * boot_s), size)
 
-    def _absorbed(self, shard: Shard, chunk: Chunk) -> float:
+    def _spare_part(self) -> float:
+        """The part of what slots set free that new arrivals will not take themselves: 1 - rate / total m u."""
+        loads = self.ctx.view.by_kind["load"].values()
+        capacity: float = sum(r.slots * r.rate for r in loads)
+        if capacity <= 0:
+            return ABSORBED
+        arrivals: float = sum(r.arrivals for r in loads)
+        return min(ABSORBED, max(LEAST_ABSORBED, 1.0 - arrivals / capacity))
+
+    def _absorbed(self, shard: Shard, part: float) -> float:
         """CPUs of waiting work that machines already here get to before a new one could boot."""
         kinds = [t.boot_s for t in self.ctx.types.values()]
         slots, rate = shard.station()
         cpus, _ = shard.mean_task()
-        return ABSORBED * slots * cpus * rate * min(kinds) if kinds else 0.0
+        return part * slots * cpus * rate * min(kinds) if kinds else 0.0
 
     def _rent_for(self, shard: Shard, chunk: Chunk, spot: bool, cpus: float, count: int,
                   anywhere: bool = False) -> None:
@@ -456,7 +467,7 @@
             dear = machines
             if spot and kind.spot_price > 0 and not chunk.spec.whole:
                 # A dearer machine must have as much more waiting for it.
-                left = cpus - (kind.price / kind.spot_price - 1.0) * self._absorbed(shard, chunk)
+                left = cpus - (kind.price / kind.spot_price - 1.0) * self._absorbed(shard, ABSORBED)
                 dear = math.ceil(left / max(per_machine * spec.cpus, 0.01) - 0.5)
             for zone in kind.zones:
                 if (spec.zone not in (None, zone)) or (zones is not None and zone not in zones):
