--- a/quinceslip/coordination/packing.py
+++ b/quinceslip/coordination/packing.py
@@ -21,6 +21,8 @@
 SETTLED_US = 35 * SECOND
 #: room must have been spare for this part of a boot time before a machine is emptied for it
 SPARE_BOOTS = 0.6
+#: a machine that wastes so many times the worth of what it holds may be emptied at the price of fetches
+DEAR = 3.0
 #: part of the machines that may be emptied at the same time
 AT_ONCE = 0.1
 
@@ -53,7 +55,7 @@
     def _choose(self, shard: Shard, workers: list[Worker], reserve_cpus: float) -> None:
         now_us = self.ctx.now_us
         holding = [w for w in workers if w.service_tasks and w.type is not None]
-        victim = min(holding, key=lambda w: (w.used_cpus, w.name), default=None)
+        victim = max(holding, key=lambda w: (self._wasted(w), w.name), default=None)
         if victim is None or victim.type is None:
             return
         others = [w for w in workers if w is not victim]
@@ -67,16 +69,26 @@
             log.info("machine %s is emptied: %g CPUs of services fit elsewhere", victim.name, victim.service_cpus)
             victim.draining = PACKING
 
+    def _unit_price(self) -> float:
+        """The lowest price of a CPU for an hour on ordinary machines."""
+        return min((t.price / t.cpus for t in self.ctx.types.values() if t.cpus > 0), default=0.0)
+
+    def _wasted(self, worker: Worker) -> float:
+        """What a machine costs in an hour beyond what runs on it is worth."""
+        return worker.type.price - self._unit_price() * worker.used_cpus if worker.type is not None else 0.0
+
     def _move_some(self, shard: Shard, worker: Worker, workers: list[Worker], most: int) -> int:
         moved = 0
         room = {w.name: w.free() for w in workers if w.zone == worker.zone}
+        # Where a large machine is kept by little, a fetch is worth it, if it is no slower than a start may be.
+        patient = self._wasted(worker) > DEAR * self._unit_price() * worker.service_cpus
         for attempt in worker.live():
             if moved >= most:
                 break
             if not attempt.spec.service or attempt.halting or not attempt.seen or \
                     self.ctx.now_us - attempt.running_us < SETTLED_US:
                 continue
-            target = self._target(shard, attempt, workers, room)
+            target = self._target(shard, attempt, workers, room, patient)
             if target is not None:
                 free, spec = room[target.name], attempt.spec
                 room[target.name] = (free[0] - spec.cpus, free[1] - spec.gpus, free[2] - spec.memory_gb)
@@ -85,11 +97,15 @@
         return moved
 
     def _target(self, shard: Shard, attempt: Attempt, workers: list[Worker],
-                room: dict[str, tuple[float, float, float]]) -> Worker | None:
-        """A machine of the same zone that has the image and room: `spread` stays as it is."""
+                room: dict[str, tuple[float, float, float]], patient: bool) -> Worker | None:
+        """A machine of the same zone that has room and the image: `spread` stays as it is."""
         spec = attempt.spec
+        fetching: Worker | None = None
         for worker in workers:
-            if worker.name in room and worker.running and spec.image in worker.images \
-                    and fits(room[worker.name], spec) and shard.placement.allowed(worker, spec, None):
-                return worker
-        return None
+            if worker.name in room and worker.running and fits(room[worker.name], spec) \
+                    and shard.placement.allowed(worker, spec, None):
+                if spec.image in worker.images:
+                    return worker
+                if patient and fetching is None and not shard.placement.slow_fetch(worker, spec):
+                    fetching = worker
+        return fetching
