--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -67,12 +67,17 @@
         self.state_ok_us = 0
         self.state_bad_us = 0
         self.timeout_us = micros(tuning.request_timeout_s)
+        self.quick_types: set[str] = set()
         self.teams = {t.name: t for t in settings.facts.teams}
 
     @property
     def wall_us(self) -> int:
         return self.now_us + self.wall_offset_us
 
+    def quick(self, kind: messages.MachineType | None) -> bool:
+        """Whether services start there soon enough; any type is, where none is quick."""
+        return kind is not None and (not self.quick_types or kind.label in self.quick_types)
+
     def team(self, name: str) -> Team | None:
         return self.teams.get(name)
 
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -59,7 +59,7 @@
         self.shards: dict[int, Shard] = {}
         self.ownership = Ownership(self.ctx, self.home, self._gained, self._lost)
         self.provision = Provisioner(self.ctx, self.ownership, self.shards)
-        self.provision.service_rooms = self._service_rooms
+        self.provision.quick_rooms = self._quick_rooms
         self.polls: list[Waiting] = []  # for the next barrier
         self.behind: list[tuple[int, list[Waiting]]] = []  # for the view to catch up
         self.cancels: list[tuple[int, str, int, int]] = []  # to be tried again
@@ -178,7 +178,7 @@
         for shard in self.shards.values():
             slots, rate = shard.station()
             loads.append(frames.ShardLoad(shard.index, shard.waiting(), slots, shard.room(), rate,
-                                         shard.service_room()))
+                                         shard.service_room(), shard.quick_room()))
         beat = frames.Beat(self.ctx.settings.label, self.state_ok(), self.ctx.view.ledger, loads,
                            self.provision.refusals())
         self.ctx.out.append(ToPeers(frames.pack_beat(beat)))
@@ -321,13 +321,13 @@
             shard.moved_us[chunk.uid] = self.ctx.now_us
             shard.recorder.move(chunk, sorted(chunk.pending), target.shard, split)
 
-    def _service_rooms(self) -> list[list[int]]:
-        """Room for services in every shard, by zone."""
-        rooms = {s.index: s.service_room() for s in self.shards.values()}
+    def _quick_rooms(self) -> list[int]:
+        """CPUs in every shard that services could have on machines quick enough for them."""
+        rooms = {s.index: s.quick_room() for s in self.shards.values()}
         for label, (_, beat) in self.peers.items():
             if self._alive(label):
                 for reported in beat.loads:
-                    rooms.setdefault(reported.shard, reported.service_room)
+                    rooms.setdefault(reported.shard, reported.quick_room)
         return list(rooms.values())
 
     def _move_waiting(self) -> None:
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -17,6 +17,8 @@
 
 #: fetches may be a third slower than their type's rate, and a start takes a moment besides
 FETCH_PART = 0.7
+#: a machine so many times as large as what services would have of it is not kept for them if another will do
+LARGE = 6.0
 #: what a fetch, and one that is too slow, weigh against CPU seconds lost by preemption
 UNCACHED_COST = 30.0
 SLOW_COST = 300.0
@@ -252,7 +254,8 @@
             # runs there now, the other machines can be returned. But not where the fetch alone
             # takes longer than users want to wait.
             size = worker.type.cpus if worker.type else 0.0
-            return (float(self.slow_fetch(worker, spec)), uncached, size - resident - spec.cpus)
+            return (float(self.slow_fetch(worker, spec)), uncached, float(size > LARGE * (resident + spec.cpus)),
+                    size - resident - spec.cpus)
         # Work that may use spot machines leaves the others to work that may not, and of those
         # prefers the ones that services keep rented anyway. Idle machines stay idle while others
         # have room, so that they can be returned.
@@ -261,10 +264,13 @@
 
     def slow_fetch(self, worker: Worker, spec: m.JobSpec) -> bool:
         """Whether the fetch of its image alone takes longer than users want to wait for a start."""
-        within_s = self.wait_s.get(spec.job_class)
-        if within_s is None or worker.type is None or spec.image in worker.images:
+        if worker.type is None or spec.image in worker.images:
             return False
-        return spec.image_gb / max(worker.type.fetch_gb_per_s, 0.01) > FETCH_PART * within_s
+        return not self.quick_type(worker.type, spec)
+
+    def quick_type(self, kind: m.MachineType, spec: m.JobSpec) -> bool:
+        within_s = self.wait_s.get(spec.job_class)
+        return within_s is None or spec.image_gb <= FETCH_PART * within_s * kind.fetch_gb_per_s
 
     def _make_room(self, chunk: Chunk, workers: list[Worker], zones: set[str] | None) -> Worker | None:
         """Preempt lower priorities. Production takes the place at once; others wait for it."""
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -35,6 +35,8 @@
 LEAST_ABSORBED = 0.05
 #: a boot that takes so many times as long as usual is not counted on
 LATE_BOOT = 1.6
+#: headroom on quick machines may cost so many times as much as on the cheapest ones
+HEADROOM_PRICE = 4.0
 #: services that came in this window tell how many to expect
 HEADROOM_WINDOW_US = 120 * SECOND
 #: a machine that died is listed as running for about this long (PROTOCOL)
@@ -79,7 +81,7 @@
         self.next_adopt_us = 0
         self.left_us: dict[str, int] = {}  # when a machine left the roster
         self.packer = Packer(ctx, ownership)
-        self.service_rooms: Callable[[], list[list[int]]] = list
+        self.quick_rooms: Callable[[], list[int]] = list
         # Our part of the cloud's calls, leaving half for rentals and deletions.
         rate = ctx.settings.facts.cloud.rps / ctx.settings.facts.size
         self.list_period_us = max(int(SECOND / max(rate / 4, 0.05)), 2 * SECOND)
@@ -241,7 +243,8 @@
                 self._give_back(shard)
                 self._plan(shard)
                 slots, size = self._expected(shard)
-                self.packer.pack(shard, slots * size / max(1, len(self.service_rooms())))
+                self._note_quick()
+                self.packer.pack(shard, slots * size / max(1, len(self.quick_rooms())))
 
     def _pursue(self) -> None:
         """Carry recorded intents through, those of an earlier owner among them."""
@@ -415,7 +418,7 @@
             return
         chunk = max(services, key=lambda c: c.spec.cpus)
         need, size = self._expected(shard)
-        slots = sum(int(room // size) for rooms in self.service_rooms() for room in rooms)
+        slots = self._service_slots(size)
         slots += sum(int(room // size) for room in coming)
         if slots < need:
             log.debug("room for %d services of %d to expect", slots, need)
@@ -430,9 +433,17 @@
         recent = [j.tasks for j in jobs if self.ctx.wall_us - j.at_us < HEADROOM_WINDOW_US]
         size = max(max(j.spec.cpus for j in jobs if j.spec is not None), 0.01)
         boot_s = min((t.boot_s for t in self.ctx.types.values()), default=0.0)
-        typical = sum(j.tasks for j in jobs) / len(jobs)
+        # Where none has come for so long, one slot is enough to begin the next one with.
+        typical = sum(j.tasks for j in jobs) / len(jobs) if recent else 1.0
         return (math.ceil(typical + sum(recent) * SECOND / HEADROOM_WINDOW_US * boot_s), size)
 
+    def _note_quick(self) -> None:
+        """Which types fetch a usual image of the services at hand within the wait that users accept."""
+        placement = next(iter(self.shards.values())).placement
+        specs = [j.spec for j in self.ctx.view.open.values() if j.spec is not None and j.spec.service]
+        self.ctx.quick_types = {t.label for t in self.ctx.types.values()
+                                if 2 * sum(placement.quick_type(t, s) for s in specs) > len(specs)}
+
     def _spare_part(self) -> float:
         """The part of what slots set free that new arrivals will not take themselves: 1 - rate / total m u."""
         loads = self.ctx.view.by_kind["load"].values()
@@ -461,6 +472,8 @@
             room = (kind.cpus, kind.gpus, kind.memory_gb)
             if not fits(room, spec) or (spec.types is not None and kind.label not in spec.types):
                 continue
+            if anywhere and not self.ctx.quick(kind):
+                continue
             per_machine = max(1, int(min(kind.cpus / max(spec.cpus, 0.01),
                                          kind.memory_gb / max(spec.memory_gb, 0.001), count)))
             machines = max(1, math.ceil(cpus / max(per_machine * spec.cpus, 0.01) - 0.2))
@@ -479,6 +492,11 @@
                         continue
                     price = (kind.spot_price if cheap else kind.price) / (per_machine * max(spec.cpus, 0.01))
                     options.append((price, in_zone[zone], kind.label, zone, cheap, machines if cheap else dear))
+        if anywhere and options:
+            # Headroom is for a few tasks: a large machine for one of them costs more than it can save.
+            fitting = [t for t in self.ctx.types.values() if fits((t.cpus, t.gpus, t.memory_gb), spec)]
+            cheapest = min(t.price * max(1, math.ceil(cpus / t.cpus)) for t in fitting)
+            options = [o for o in options if self.ctx.types[o[2]].price * o[5] <= HEADROOM_PRICE * cheapest]
         if not options:
             return
         # The cheapest for what it can serve; between zones, the one with fewest of our machines.
@@ -538,14 +556,20 @@
         return max(10 * SECOND, int(self.ctx.tuning.idle_return_factor * boot_us))
 
     def _headroom(self, shard: Shard, name: str) -> bool:
-        """Whether services would have nowhere to go without this machine."""
-        services = [c.spec for c in shard.chunks.values() if c.spec.service]
+        """Whether there would be too little room for the services to expect without this machine.
+
+        The same measure as for renting: what one returns and the other rents again costs a minute each.
+        """
         worker = shard.workers[name]
-        if not services or worker.spot:
+        if worker.spot or not any(c.spec.service for c in shard.chunks.values()):
             return False
-        largest = max(services, key=lambda s: s.cpus)
-        others = [w for w in shard.workers.values() if w.name != name and not w.spot and shard.placement.usable(w)]
-        return not any(w.service_room() >= largest.cpus for w in others)
+        need, size = self._expected(shard)
+        mine = int(worker.service_room() // size) if self.ctx.quick(worker.type) else 0
+        return mine > 0 and self._service_slots(size) - mine < need
+
+    def _service_slots(self, size: float) -> int:
+        """Places for services of that many CPUs, free or held by what they may preempt, in all shards."""
+        return sum(int(room // size) for room in self.quick_rooms())
 
     def _delete(self, shard: Shard, names: list[str]) -> None:
         if self.ctx.now_us < self.next_delete_us:
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -403,3 +403,8 @@
             if self.placement.usable(worker) and not worker.spot:
                 room[worker.zone] = room.get(worker.zone, 0.0) + worker.service_room()
         return [max(0, int(room[zone])) for zone in self.ctx.settings.facts.zones]
+
+    def quick_room(self) -> int:
+        """The part of it on machines that fetch a usual image of a service in time."""
+        return int(sum(max(0.0, w.service_room()) for w in self.workers.values()
+                       if not w.spot and self.ctx.quick(w.type) and self.placement.usable(w)))
--- a/quinceslip/protocol/frames.py
+++ b/quinceslip/protocol/frames.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 
 MAGIC = b"QS"
-VERSION = 3
+VERSION = 4
 HEADER = struct.Struct("!2sBBH")  # magic, version, kind, length of the payload
 BEAT = struct.Struct("!16sBqHH")  # label, flags, ledger, number of shard loads, number of refusals
-LOAD = struct.Struct("!HIIIdB")  # shard, waiting, slots, room, service rate, number of zones
+LOAD = struct.Struct("!HIIIdIB")  # shard, waiting, slots, room, service rate, quick room, number of zones
 ZONE = struct.Struct("!I")  # CPUs that services could have in one zone
 REFUSAL = struct.Struct("!32s32sBI")  # machine type, zone, 1 for spot, milliseconds left
 MOST_REFUSALS = 32
@@ -28,6 +28,7 @@
     room: int
     rate: float
     service_room: list[int]  # CPUs that services could have in each zone, in the order of the settings
+    quick_room: int = 0  # the part of it on machines that fetch a usual image in time
 
 
 @dataclass(slots=True)
@@ -50,7 +51,7 @@
                      len(refusals))
     for load in beat.loads:
         body += LOAD.pack(load.shard, min(load.waiting, 2**32 - 1), load.slots, load.room, load.rate,
-                          len(load.service_room))
+                          load.quick_room, len(load.service_room))
         for cpus in load.service_room:
             body += ZONE.pack(cpus)
     for machine_type, zone, spot, left_us in refusals:
@@ -74,11 +75,11 @@
         offset = BEAT.size
         loads = []
         for _ in range(count):
-            shard, waiting, slots, room, rate, zones = LOAD.unpack_from(body, offset)
+            shard, waiting, slots, room, rate, quick, zones = LOAD.unpack_from(body, offset)
             offset += LOAD.size
             rooms = [ZONE.unpack_from(body, offset + i * ZONE.size)[0] for i in range(zones)]
             offset += zones * ZONE.size
-            loads.append(ShardLoad(shard, waiting, slots, room, rate, rooms))
+            loads.append(ShardLoad(shard, waiting, slots, room, rate, rooms, quick))
         refusals = []
         for _ in range(refused):
             kind, place, spot, left_ms = REFUSAL.unpack_from(body, offset)
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -88,7 +88,7 @@
 
 
 def _frames(tmp: Path) -> None:
-    beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6])],
+    beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6], 7)],
                        [("aisle-mid", "erie-east", True, 12_000_000)])
     data = frames.pack_beat(beat)
     kind, length = frames.read_header(data[: frames.HEADER.size])
