--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -39,10 +39,13 @@
                 body = json.loads(self.rfile.read(length)) if length else None
                 status, answer = outside.answer(self.path, body)
                 data = json.dumps(answer).encode()
-                self.send_response(status)
-                self.send_header("Content-Length", str(len(data)))
-                self.end_headers()
-                self.wfile.write(data)
+                try:
+                    self.send_response(status)
+                    self.send_header("Content-Length", str(len(data)))
+                    self.end_headers()
+                    self.wfile.write(data)
+                except OSError:  # the process was ended while it waited
+                    self.close_connection = True
 
             do_GET = do_POST = do_DELETE = serve
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -8,10 +8,12 @@
 
 import operator
 import shlex
+import tracemalloc
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 from quinceslip.coordination.balance import (
@@ -24,7 +26,13 @@
     shares,
     wait_probability,
 )
+from quinceslip.coordination.effects import Call, Urgency
+from quinceslip.coordination.foresight import foresee
+from quinceslip.coordination.state import Chunk
+from quinceslip.protocol import messages as m
 from quinceslip.storage import tasksets
+from quinceslip.storage.records import JobRecord, View
+from quinceslip.transport.clients import Budget, Pool
 from tests.checker import Checker
 from tests.inputs import bad_input
 from tests.loopback import loopback
@@ -59,6 +67,8 @@
         self.actions: list[tuple[float, str, list[str], dict[str, Any]]] = []
         self.statuses: dict[str, list[int]] = {}
         self.expect_broken: str | None = None
+        self.counted: dict[str, int] = {}
+        self.full = False
 
     def line(self, text: str) -> None:
         words = shlex.split(text, comments=True)
@@ -95,6 +105,16 @@
     def do_machines(self, plain: list[str], named: dict[str, Any]) -> None:
         self.initial.append((int(plain[0]), plain[1], plain[2], "spot" in plain))
 
+    def do_objective(self, plain: list[str], named: dict[str, Any]) -> None:
+        """objective KIND CLASS within=S share=P: what users ask of a class"""
+        self.facts.setdefault("objectives", []).append(
+            {"kind": plain[0], "class": plain[1], "within_s": float(named.get("within", 0)),
+             "share": named.get("share", 1.0), "times": float(named.get("times", 1))})
+
+    def do_cloud_full(self, plain: list[str], named: dict[str, Any]) -> None:
+        """cloud_full: no machine is to be had"""
+        self.full = True
+
     def do_at(self, plain: list[str], named: dict[str, Any]) -> None:
         self.actions.append((float(plain[0]), plain[1], plain[2:], named))
 
@@ -106,6 +126,8 @@
             self.world = World(self.facts, self.types or [{
                 "label": "m", "vcpus": 16.0, "gpus": 0.0, "memGb": 64.0, "cacheGb": 50.0, "pullGbPerS": 1.0,
                 "price": 1.0, "lowPrice": 0.4, "startupS": 5.0, "yards": self.facts["zones"]}], self.seed)
+            if self.full:
+                self.world.cloud.capacity = 0
             for count, kind, zone, spot in self.initial:
                 for _ in range(count):
                     self.world.cloud.start(kind, zone, spot, 0)
@@ -166,6 +188,21 @@
 
         attempt()
 
+    def on_submit_many(self, args: list[str], named: dict[str, Any]) -> None:
+        """submit_many FIRST COUNT ...: jobs of one kind, with numbers from FIRST on"""
+        for number in range(int(args[0]), int(args[0]) + int(args[1])):
+            self.on_submit([f"req-{number:06d}", *args[2:]], dict(named))
+
+    def on_cancel_many(self, args: list[str], named: dict[str, Any]) -> None:
+        for number in range(int(args[0]), int(args[0]) + int(args[1]), int(named.get("step", 1))):
+            self.on_cancel([f"req-{number:06d}"], {})
+
+    def on_count(self, args: list[str], named: dict[str, Any]) -> None:
+        """count: what is counted from here on"""
+        world = self.w()
+        self.counted = {"puts": world.state.puts, "reports": world.reports, "looked": self._looked(),
+                        "asked": world.cloud.asked, "second": world.now_us // US}
+
     def on_poll(self, args: list[str], named: dict[str, Any]) -> None:
         def heard(status: int, body: Any) -> None:
             self.statuses.setdefault(args[0], []).append(status)
@@ -283,6 +320,42 @@
 
     # Judgement.
 
+    def _looked(self) -> int:
+        """Workers that placement has looked at, by all controllers."""
+        return sum(s.placement.looked for h in self.w().hosts.values() if h.node for s in h.node.shards.values())
+
+    def check_all_done(self, args: list[str], named: dict[str, Any]) -> None:
+        told = self.w().checker.told
+        left = [u for u, spec in self.w().jobs.items() if spec["shape"] == "array" and told.get(u) != "done"]
+        assert not left, left[:5]
+
+    def check_looked_per_report(self, args: list[str], named: dict[str, Any]) -> None:
+        reports = self.w().reports - self.counted["reports"]
+        assert reports > int(named["reports"]), reports
+        looked = self._looked() - self.counted["looked"]
+        assert COMPARE[args[0]](looked / reports, float(args[1])), f"{looked} workers for {reports} reports"
+
+    def check_puts_per_job(self, args: list[str], named: dict[str, Any]) -> None:
+        puts = self.w().state.puts - self.counted["puts"]
+        jobs = len(self.w().jobs)
+        assert COMPARE[args[0]](puts / jobs, float(args[1])), f"{puts} puts for {jobs} jobs"
+
+    def check_puts_per_s(self, args: list[str], named: dict[str, Any]) -> None:
+        """in any ten seconds in a row, on average"""
+        seconds = self.w().state.second
+        first, last = self.counted["second"], self.w().now_us // US
+        most = max(sum(seconds.get(t + i, 0) for i in range(10)) / 10 for t in range(first, last - 9))
+        assert COMPARE[args[0]](most, float(args[1])), f"{most} puts a second"
+
+    def check_rental_calls(self, args: list[str], named: dict[str, Any]) -> None:
+        asked = self.w().cloud.asked - self.counted["asked"]
+        assert COMPARE[args[0]](asked, int(args[1])), f"{asked} rental requests"
+
+    def check_on_type(self, args: list[str], named: dict[str, Any]) -> None:
+        """on_type UID TYPE: every task of it that runs does so there"""
+        places = [n for t, p in self.w().checker.where.items() if t.startswith(args[0] + "/") for n in p]
+        assert places and all(self.w().workers[n].host["build"] == args[1] for n in places), places
+
     def do_expect(self, plain: list[str], named: dict[str, Any]) -> None:
         getattr(self, "check_" + plain[0])(plain[1:], named)
 
@@ -308,6 +381,11 @@
         count = sum(len(s) for t, s in self.w().checker.starts.items() if t.startswith(args[0] + "/"))
         assert COMPARE[args[1]](count, int(args[2])), f"{args[0]} was started {count} times"
 
+    def check_services_restarted_by(self, args: list[str], named: dict[str, Any]) -> None:
+        """Some replica was started again, and the last such start was by then."""
+        again = [s[-1] / US for s in self.w().checker.starts.values() if len(s) > 1]
+        assert again and max(again) <= float(args[0]), again
+
     def check_started_by(self, args: list[str], named: dict[str, Any]) -> None:
         times = [s[-1] / US for t, s in self.w().checker.starts.items() if t.startswith(args[0] + "/")]
         assert times and max(times) <= float(args[1]), times
@@ -386,6 +464,47 @@
         assert tasksets.decode(tasksets.encode(odd)) == odd
         assert len(tasksets.encode(odd)) < 16_000
 
+    def do_foresee(self, plain: list[str], named: dict[str, Any]) -> None:
+        """foresee CPUS_PER_S NAME:tasks:estimate:due,... late=NAME,...: jobs of 2 CPUs that are put back"""
+        chunks = []
+        for place, part in enumerate(plain[1].split(",")):
+            name, tasks, estimate, due = part.split(":")
+            spec = msgspec.convert(job_spec("req-1", picks=int(tasks), expectS=float(estimate)), m.JobSpec)
+            chunk = Chunk(name, spec, at_us=place, due_us=[int(float(due) * US)] if due else [])
+            for index in range(int(tasks)):
+                chunk.pending.push(index)
+            chunks.append(chunk)
+        foresee(chunks, float(plain[0]), 0)
+        found = {c.uid for c in chunks if c.late}
+        assert found == set(str(named.get("late", "")).split(",")) - {""}, found
+
+    def do_urgency(self, plain: list[str], named: dict[str, Any]) -> None:
+        """urgency NAME...: calls to the state service come out in the order of their urgency"""
+        pool = Pool("test", 0, lambda answer: True, Budget(1000.0, 1000.0, 1))
+        for number, name in enumerate(plain):
+            pool.submit(Call("", number, "POST", "/txn", None, 5_000_000, 1, Urgency[name]), "10.0.0.1:1")
+        out = [pool._next()[3].urgency for _ in plain]
+        assert out == sorted(out), out
+
+    def do_budget(self, plain: list[str], named: dict[str, Any]) -> None:
+        """budget SIZE: refusals shrink a controller's share, but never below an equal part"""
+        budget = Budget(100.0, 20.0, int(plain[0]))
+        for _ in range(40):
+            budget.cut_us = 0
+            budget.refused()
+        assert budget.share == pytest.approx(1 / int(plain[0]))
+
+    def do_memory_per_job(self, plain: list[str], named: dict[str, Any]) -> None:
+        """memory_per_job BYTES: what a view keeps of a job that is over"""
+        view, count = View(), 5000
+        raw = msgspec.Raw(msgspec.json.encode(JobRecord("done", 40, done=40)))
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        view.apply([m.Event(n + 1, put=f"q/job/req-{n:06d}", value=raw) for n in range(count)], count)
+        used = (tracemalloc.get_traced_memory()[0] - before) / count
+        tracemalloc.stop()
+        assert len(view.by_kind["job"]) == count and used < float(plain[0]), used
+
     def do_input(self, plain: list[str], named: dict[str, Any]) -> None:
         bad_input(plain[0])
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -38,6 +38,7 @@
         self.cloud = CloudStandIn(self)
         self.workers: dict[str, WorkerStandIn] = {}
         self.checker = Checker(self)
+        self.reports = 0
         self.hosts = {f"berth-{i}": Controller(self, f"berth-{i}") for i in range(facts["size"])}
         self.log: list[str] = []
 
@@ -68,6 +69,8 @@
         self.down_until_us = 0
         self.refused: dict[str, int] = {}  # controller -> until
         self.late: dict[str, tuple[int, int]] = {}  # controller -> (until, delay)
+        self.puts = 0  # on job records and their parts
+        self.second: dict[int, int] = {}  # the same in each second
         world.after(20_000, self._expire)
 
     def outage(self, length_us: int) -> None:
@@ -124,6 +127,10 @@
         assert len(ops) <= self.world.facts["state"]["txn_ops"], "too many changes"
         if ops:
             self.ledger += 1
+        count = sum((op.get("write") or op["drop"]).split("/")[1] in ("job", "part") for op in ops)
+        self.puts += count
+        now_s = self.world.now_us // US
+        self.second[now_s] = self.second.get(now_s, 0) + count
         for op in ops:
             if "write" in op:
                 value = json.loads(json.dumps(op["v"]))
@@ -147,7 +154,7 @@
         self.capacity = 10**6
         self.never_boot = 0
         self.lost_answers = 0
-        self.past: list[tuple[int, list[dict[str, Any]]]] = []
+        self.asked = 0  # rental requests
 
     def start(self, kind: str, zone: str, spot: bool, boot_us: int) -> str:
         name = f"n-{self.next:06d}"
@@ -178,6 +185,7 @@
         if path == "/flavors":
             return 200, {"builds": list(world.types.values())}
         if path == "/hosts":
+            self.asked += 1
             if body["hire"] not in self.hires:
                 room = min(body["howMany"], self.capacity - len(self.machines))
                 if room <= 0:
@@ -522,6 +530,7 @@
         self.give(make(self.next_request))
 
     def worker_reports(self, report: dict[str, Any], answer: Callable[[int, Any], None]) -> None:
+        self.world.reports += 1
         decoded = msgspec.json.decode(json.dumps(report), type=m.WorkerReport)
         self._request(lambda n: fx.Reported(n, decoded), answer)
 
