A zone that is cut off is not deleted

Change: where most of a zone's machines that are asked do not answer, and three at least, none of them is deleted before its lease is over. What is left: the cut outlasts the lease, so workers that report to a controller outside the zone lose their tasks; shards by zone would keep them.

--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -35,6 +35,8 @@
 LEAST_ABSORBED = 0.05
 #: a boot that takes so many times as long as usual is not counted on
 LATE_BOOT = 1.6
+#: so many silent machines at least make a zone that is cut off
+DARK_LEAST = 3
 #: headroom on quick machines may cost so many times as much as on the cheapest ones
 HEADROOM_PRICE = 4.0
 #: services that came in this window tell how many to expect
@@ -517,13 +519,15 @@
         known = [w for w in shard.workers.values() if (w.heard_us or w.deaf) and not w.lost]
         heard = sum(bool(w.heard_us) and not w.deaf for w in known)
         mostly_heard = 2 * heard >= len(known) or (len(known) <= 2 and self.ownership.entitled())
+        dark = self._dark_zones(shard)
         idle_rank = {True: 0, False: 0}
         for worker in sorted(shard.workers.values(), key=lambda w: w.idle_us):
             if worker.deleting or worker.type is None:
                 continue
             boot_us = micros(worker.type.boot_s)
             host = self.hosts.get(worker.name)
-            if worker.name in shard.unresolved and worker.deaf >= PROBES and mostly_heard:
+            deaf = worker.deaf >= PROBES and mostly_heard and worker.zone not in dark
+            if worker.name in shard.unresolved and deaf:
                 # Deleted, it is certain to be gone, and what it may have held can start elsewhere.
                 log.info("inherited worker %s does not answer: replaced", worker.name)
                 names.append(worker.name)
@@ -539,7 +543,7 @@
                 continue
             # A hung or cut machine keeps its tasks from starting elsewhere until its lease ends.
             # Once it is deleted they are certain to be gone, so they start again at once.
-            if worker.deaf >= PROBES and not worker.lost and worker.attempts and mostly_heard:
+            if deaf and not worker.lost and worker.attempts:
                 log.info("worker %s is silent for %.1f s: replaced", worker.name, silent_us / SECOND)
                 names.append(worker.name)
                 continue
@@ -557,6 +561,21 @@
         if names:
             self._delete(shard, names[:DELETE_MOST])
 
+    @staticmethod
+    def _dark_zones(shard: Shard) -> set[str]:
+        """Zones in which most of the machines that are asked do not answer: these are cut off.
+
+        Their machines go on working and mostly come back. To delete them all would stop what runs there
+        for the time of a boot, on a cloud that may not have as many again.
+        """
+        asked: dict[str, int] = defaultdict(int)
+        silent: dict[str, int] = defaultdict(int)
+        for worker in shard.workers.values():
+            if not worker.lost and (worker.service_tasks or worker.name in shard.unresolved):
+                asked[worker.zone] += 1
+                silent[worker.zone] += worker.deaf > 0
+        return {zone for zone, count in silent.items() if count >= DARK_LEAST and 2 * count >= asked[zone]}
+
     def _patience_us(self, boot_us: int) -> int:
         return max(10 * SECOND, int(self.ctx.tuning.idle_return_factor * boot_us))
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -268,6 +268,12 @@
         for worker in self._workers(args):
             worker.cut_until_us = self.w().now_us + int(float(args[1]) * US)
 
+    def on_cut_zone(self, args: list[str], named: dict[str, Any]) -> None:
+        """cut_zone ZONE S"""
+        for worker in self.w().workers.values():
+            if worker.host["yard"] == args[0]:
+                worker.cut_until_us = self.w().now_us + int(float(args[1]) * US)
+
     def on_mute(self, args: list[str], named: dict[str, Any]) -> None:
         """mute WORKER S: its reports are lost, while direct commands reach it."""
         for worker in self._workers(args):
