--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -123,7 +123,9 @@
     port = _free_port()
     with tempfile.TemporaryDirectory() as folder:
         config = Path(folder) / "service.toml"
-        config.write_text(settings_text(api=port, peer=_free_port(), cloud=outside.port, state=outside.port))
+        # So little memory that no more than 64 connections are served at once.
+        config.write_text(settings_text(api=port, peer=_free_port(), cloud=outside.port, state=outside.port)
+                          + "[facts.limits]\nmemory_mb = 45.0\n")
         process = subprocess.Popen([sys.executable, str(ROOT / "run.py"), "--config", str(config)],
                                    env={**os.environ, "LOG_LEVEL": "error"})
         try:
@@ -157,10 +159,15 @@
     with socket.create_connection(("127.0.0.1", port), timeout=5) as large:
         large.sendall(b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n")
         assert b" 413 " in large.recv(200)  # refused before the body is sent
-    # Half-open and slow clients hold connections while the others are served.
-    slow = [socket.create_connection(("127.0.0.1", port), timeout=5) for _ in range(40)]
-    for connection in slow:
+    for body in (b"", b"\xff\xfe", b"null", b'{"uid":' * 500, b'{"uid":"req-1","picks":1e999}') * 20:
+        assert _ask(port, "POST", "/v1/jobs", body)[0] == 400
+    # More half-open and slow clients than the process has connections for, while the others are served:
+    # the one that has been quiet longest is closed, never a worker's.
+    slow = []
+    for _ in range(100):
+        connection = socket.create_connection(("127.0.0.1", port), timeout=5)
         connection.sendall(b"POST /hello HTTP/1.1\r\nContent-Le")
+        slow.append(connection)
     # A worker appears, is told to launch the task, and reports it done.
     tasks: list[dict[str, Any]] = []
     tick = 0
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -90,6 +90,8 @@
                 self.facts["zones"] = str(given).split(",")
             elif key == "size":
                 self.facts["size"] = given
+            elif key == "list_lag":
+                self.facts["cloud"]["list_lag_s"] = float(given)
             else:
                 self.facts["workers"][key + "_s"] = given
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -155,6 +155,8 @@
         self.never_boot = 0
         self.lost_answers = 0
         self.asked = 0  # rental requests
+        self.extra_lag_us = 0  # the list goes back by so much
+        self.past: dict[str, tuple[dict[str, Any], int]] = {}  # machines that are gone, and since when
 
     def start(self, kind: str, zone: str, spot: bool, boot_us: int) -> str:
         name = f"n-{self.next:06d}"
@@ -173,7 +175,9 @@
             self.world.workers[name] = WorkerStandIn(self.world, name, self.machines[name])
 
     def gone(self, name: str) -> None:
-        if self.machines.pop(name, None):
+        host = self.machines.pop(name, None)
+        if host:
+            self.past[name] = (host, self.world.now_us)
             worker = self.world.workers.pop(name, None)
             if worker:
                 worker.die()
@@ -202,8 +206,10 @@
                 self.gone(name)
             return 200, {}
         lag_us = int(world.facts["cloud"]["list_lag_s"] * US)
-        at_us = world.now_us - lag_us
-        listed = [{**h, "ageS": (at_us - h["born"]) / US} for h in self.machines.values() if h["born"] <= at_us]
+        at_us = world.now_us - lag_us - self.extra_lag_us
+        then = [*self.machines.values(), *(h for h, gone_us in self.past.values() if gone_us > at_us)]
+        listed = [{**h, "ageS": (at_us - h["born"]) / US} for h in sorted(then, key=lambda h: h["uid"])
+                  if h["born"] <= at_us]
         return 200, {"berths": listed, "hasNext": False}
 
 
