--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -460,18 +460,12 @@
         arrivals: float = sum(r.arrivals for r in loads)
         return min(ABSORBED, max(LEAST_ABSORBED, 1.0 - arrivals / capacity))
 
-    def _absorbed(self, shard: Shard, part: float, coming: bool = False) -> float:
-        """CPUs of waiting work that machines already here, and coming, get to before a new one could boot."""
+    def _absorbed(self, shard: Shard, part: float) -> float:
+        """CPUs of waiting work that machines already here get to before a new one could boot."""
         kinds = [t.boot_s for t in self.ctx.types.values()]
         slots, rate = shard.station()
         cpus, _ = shard.mean_task()
-        held = slots * cpus
-        if coming:
-            held += sum(w.type.cpus for w in shard.workers.values()
-                        if w.spot and not w.heard_us and w.type is not None and not w.deleting)
-            held += sum(h.coming() * self.ctx.types[h.record.type].cpus for h in self.hires.values()
-                        if h.record.spot and h.shard == shard.index and h.record.type in self.ctx.types)
-        return part * held * rate * min(kinds) if kinds else 0.0
+        return part * slots * cpus * rate * min(kinds) if kinds else 0.0
 
     def _rent_for(self, shard: Shard, chunk: Chunk, spot: bool, cpus: float, count: int,
                   anywhere: bool = False) -> None:
@@ -493,7 +487,7 @@
             dear = machines
             if spot and kind.spot_price > 0 and not chunk.spec.whole:
                 # A dearer machine must have as much more waiting for it.
-                left = cpus - (kind.price / kind.spot_price - 1.0) * self._absorbed(shard, ABSORBED, coming=True)
+                left = cpus - (kind.price / kind.spot_price - 1.0) * self._absorbed(shard, ABSORBED)
                 dear = math.ceil(left / max(per_machine * spec.cpus, 0.01) - 0.5)
             for zone in kind.zones:
                 if (spec.zone not in (None, zone)) or (zones is not None and zone not in zones):
