A connection that is closed for another one is forgotten at once

Cause: found by the loopback scenario with 100 half-open clients: the quietest connection stayed in the table until its thread ended, so the next newcomers closed the same one again, and from 16 over the bound on they were refused.

--- a/quinceslip/transport/http_server.py
+++ b/quinceslip/transport/http_server.py
@@ -221,6 +221,8 @@
     def _evict(self) -> None:
         quiet = min(self._open.items(), key=lambda kv: (kv[1][1], kv[1][0]), default=None)
         if quiet is not None and not quiet[1][1]:
+            # Its thread may take a moment to end; the next one to be closed must be another.
+            del self._open[quiet[0]]
             try:
                 quiet[0].shutdown(socket.SHUT_RDWR)
             except OSError:
