--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""The command line: one subcommand for each thing to do, each imported only when it is asked for."""
 
 import argparse
 import logging
@@ -7,36 +7,42 @@
 from pathlib import Path
 
 from quinceslip import __version__
-from quinceslip.protocol.settings import SettingsError, load_settings, load_tuning
+from quinceslip.protocol.settings import Settings, SettingsError, Tuning, load_settings, load_tuning
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
 def parser() -> argparse.ArgumentParser:
-    made = argparse.ArgumentParser(prog="quinceslip", description="A controller of a cluster scheduler.")
-    made.add_argument("--config", type=Path, required=True, metavar="FILE",
-                      help="settings that the platform hands over (TOML)")
-    made.add_argument("--operator-config", type=Path, metavar="FILE",
-                      help="the operators' own settings (INI, section [quinceslip])")
-    made.add_argument("--check", action="store_true", help="check the settings and exit")
+    made = argparse.ArgumentParser(prog="quinceslip", description="A cluster scheduler.")
     made.add_argument("--version", action="version", version=f"quinceslip {__version__}")
+    commands = made.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for name, text in (("run", "run one controller until it is ended"), ("check", "check the settings and exit")):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("--operator-config", type=Path, metavar="FILE",
+                             help="the operators' own settings (INI)")
+        command.add_argument("--config", type=Path, required=True, metavar="FILE",
+                             help="settings that the platform hands over (TOML)")
+        command.set_defaults(act=run if name == "run" else check)
     return made
 
 
-def main(argv: list[str] | None = None) -> int:
-    arguments = parser().parse_args(argv)
-    try:
-        settings = load_settings(arguments.config)
-        tuning = load_tuning(arguments.operator_config)
-        level = os.environ.get("LOG_LEVEL") or tuning.log_level or "error"
-        if level not in LEVELS:
-            raise SettingsError(f"LOG_LEVEL = {level}: must be error, info or debug")
-    except SettingsError as error:
-        print(f"quinceslip: {error}", file=sys.stderr)
-        return 2
-    if arguments.check:
-        print(f"{arguments.config}: fine")
-        return 0
+def _load(arguments: argparse.Namespace) -> tuple[Settings, Tuning, str]:
+    settings = load_settings(arguments.config)
+    tuning = load_tuning(arguments.operator_config)
+    level = os.environ.get("LOG_LEVEL") or tuning.log_level or "error"
+    if level not in LEVELS:
+        raise SettingsError(f"LOG_LEVEL = {level}: must be error, info or debug")
+    return settings, tuning, level
+
+
+def check(arguments: argparse.Namespace) -> int:
+    _load(arguments)
+    print(f"{arguments.config}: fine")
+    return 0
+
+
+def run(arguments: argparse.Namespace) -> int:
+    settings, tuning, level = _load(arguments)
     logging.basicConfig(level=LEVELS[level], stream=sys.stderr,
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     from quinceslip.service import Service  # only now: checking needs no sockets
@@ -47,3 +53,13 @@
         logging.getLogger(__name__).error("%s: %s", settings.api_addr, error)
         return 1
     return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = parser().parse_args(argv)
+    try:
+        status: int = arguments.act(arguments)
+    except SettingsError as error:
+        print(f"quinceslip: {error}", file=sys.stderr)
+        return 2
+    return status
--- /dev/null
+++ b/quinceslip/coordination/balancing.py
@@ -0,0 +1,220 @@
+"""Where jobs go: fair workload levels, the paper's forwarding, and moves of waiting work."""
+
+import logging
+import math
+from dataclasses import dataclass
+
+from quinceslip.coordination import balance
+from quinceslip.coordination.context import SECOND, Context, micros
+from quinceslip.coordination.ownership import Ownership
+from quinceslip.coordination.shard import Shard
+from quinceslip.protocol import frames
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records
+
+log = logging.getLogger(__name__)
+
+#: a service that was moved and still finds no place is moved no more than this often
+MOVE_AGAIN_US = 10 * SECOND
+#: a peer that has not been heard of for so long is not counted on
+PEER_SILENT_US = 4 * SECOND
+
+
+@dataclass(slots=True)
+class Heard:
+    """The latest sign of life of a peer."""
+
+    at_us: int
+    since_us: int  # heard without a break since
+    beat: frames.Beat
+
+
+class Balancer:
+    """Knows the load of every shard; chooses shards for jobs and moves what waits."""
+
+    def __init__(self, ctx: Context, ownership: Ownership, shards: dict[int, Shard]) -> None:
+        self.ctx = ctx
+        self.ownership = ownership
+        self.shards = shards
+        self.peers: dict[str, Heard] = {}
+        self.next_load_us = ctx.now_us + SECOND
+        self.next_balance_us = ctx.now_us + SECOND
+        self.next_move_us = 0
+        self.levels: dict[int, int] = {}
+        self.accepted_us: list[tuple[int, int]] = []  # when, how many tasks
+
+    def tick(self) -> None:
+        now_us = self.ctx.now_us
+        if now_us >= self.next_load_us:
+            self.next_load_us = now_us + micros(self.ctx.tuning.load_record_s)
+            self._record_load()
+        if now_us >= self.next_balance_us:
+            self.next_balance_us = now_us + micros(self.ctx.tuning.balance_period_s)
+            self._balance()
+        if now_us >= self.next_move_us:
+            self.next_move_us = now_us + SECOND
+            self._move_waiting()
+
+    def accepted(self, spec: m.JobSpec) -> None:
+        """Arrivals are the rate of the model. Services never finish, and are no part of m and u either."""
+        if not spec.service:
+            self.accepted_us.append((self.ctx.now_us, spec.tasks))
+
+    # Peers.
+
+    def heard(self, beat: frames.Beat) -> None:
+        now_us = self.ctx.now_us
+        last = self.peers.get(beat.label)
+        steady = last is not None and now_us - last.at_us <= PEER_SILENT_US
+        self.peers[beat.label] = Heard(now_us, last.since_us if last and steady else now_us, beat)
+
+    def alive(self, label: str) -> bool:
+        known = self.peers.get(label)
+        return known is not None and self.ctx.now_us - known.at_us < PEER_SILENT_US
+
+    def peer_loads(self) -> list[frames.ShardLoad]:
+        """What peers that are alive reported of their shards."""
+        return [load for label, peer in self.peers.items() if self.alive(label) for load in peer.beat.loads]
+
+    def loads(self) -> list[frames.ShardLoad]:
+        """What this node reports of its own."""
+        found = []
+        for shard in self.shards.values():
+            slots, rate = shard.station()
+            found.append(frames.ShardLoad(shard.index, shard.waiting(), slots, shard.room(), rate,
+                                          shard.service_room(), shard.quick_room()))
+        return found
+
+    # Balance.
+
+    def _stations(self) -> tuple[dict[int, balance.Station], dict[int, int], dict[int, int]]:
+        """Stations, waiting tasks and free slots of every shard, from peers where they are fresh."""
+        stations: dict[int, balance.Station] = {}
+        waiting: dict[int, int] = {}
+        room: dict[int, int] = {}
+        for name, record in self.ctx.view.by_kind["load"].items():
+            stations[int(name)] = balance.Station(record.slots, record.rate)
+            waiting[int(name)] = record.waiting
+        for load in self.peer_loads():
+            stations[load.shard] = balance.Station(load.slots, load.rate)
+            waiting[load.shard] = load.waiting
+            room[load.shard] = load.room
+        for shard in self.shards.values():
+            slots, rate = shard.station()
+            stations[shard.index] = balance.Station(slots, rate)
+            waiting[shard.index] = shard.waiting()
+            room[shard.index] = shard.room()
+        return stations, waiting, room
+
+    def _record_load(self) -> None:
+        if not self.ownership.entitled():
+            return
+        now_us = self.ctx.now_us
+        window_us = 60 * SECOND
+        self.accepted_us = [(t, n) for t, n in self.accepted_us if now_us - t < window_us]
+        span_s = max(5.0, min(window_us, now_us - self.ctx.started_us) / SECOND)
+        arrivals = sum(n for _, n in self.accepted_us) / span_s
+        conditions: dict[str, int] = {}
+        puts = {}
+        for shard in self.shards.values():
+            conditions |= self.ownership.condition(shard.index)
+            slots, rate = shard.station()
+            share = arrivals if shard.index == self.ownership.home else 0.0
+            record = records.LoadRecord(shard.waiting(), slots, rate, share, shard.room())
+            if self.ctx.view.by_kind["load"].get(str(shard.index)) != record:
+                puts[records.load_key(shard.index)] = (record, None)
+        if puts:
+            self.ctx.txn(conditions, puts, [], lambda s, f: None)
+
+    def _balance(self) -> None:
+        stations, _, _ = self._stations()
+        if not stations:
+            return
+        total = sum(r.arrivals for r in self.ctx.view.by_kind["load"].values())
+        order = sorted(stations)
+        levels = balance.fair_levels([stations[i] for i in order], total)
+        self.levels = dict(zip(order, levels, strict=True))
+        log.debug("arrivals %.2f/s, levels %s", total, self.levels)
+
+    def shard_for(self, spec: m.JobSpec) -> int | None:
+        """Home below its level, else as the paper forwards; a limited team has one fixed shard."""
+        team = self.ctx.team(spec.team)
+        if team is not None and (team.cpus_max or team.gpus_max):
+            names = sorted(t.name for t in self.ctx.settings.facts.teams)
+            return names.index(team.name) % self.ownership.size
+        stations, waiting, _ = self._stations()
+        owned = {s for s in range(self.ownership.size) if self.ownership.owner(s)}
+        if not owned:
+            return None
+        stations = {s: st for s, st in stations.items() if s in owned}
+        home = self.ownership.home if self.ownership.home in owned else min(owned)
+        chosen = balance.choose_shard(home, stations, waiting, self.levels)
+        return chosen if chosen in owned else home
+
+    def _move_services(self, shard: Shard) -> None:
+        """Services that find no place here go where lower priorities can make room for them."""
+        reported = {load.shard: load for load in self.peer_loads()}
+        for other in self.shards.values():
+            reported[other.index] = frames.ShardLoad(other.index, 0, 0, 0, 0.0, other.service_room())
+        reported.pop(shard.index, None)
+        order = self.ctx.settings.facts.zones
+        for chunk in shard.ordered():
+            spec = chunk.spec
+            if not spec.service or not chunk.pending or \
+                    self.ctx.now_us < shard.moved_us.get(chunk.uid, 0) + MOVE_AGAIN_US:
+                continue
+            whole = bool(shard.recorder.movable(chunk))
+            split = None if whole else shard.recorder.split_zones(chunk)
+            if not whole and split is None:
+                continue
+            allowed = split[1] if split else (chunk.zones or set(order))
+            most = (spec.tasks + 1) // 2 if spec.spread else len(chunk.pending)
+            best: tuple[int, frames.ShardLoad] | None = None
+            for other_load in reported.values():
+                rooms = [room for zone, room in zip(order, other_load.service_room, strict=False)
+                         if zone in allowed and spec.zone in (None, zone)]
+                fit = sum(min(most, int(room // max(spec.cpus, 0.01))) for room in rooms)
+                if fit >= len(chunk.pending) and self.ownership.owner(other_load.shard) and (
+                        best is None or sum(rooms) > best[0]):
+                    best = (sum(rooms), other_load)
+            if best is None:
+                continue
+            target = best[1]
+            need = math.ceil(spec.cpus * len(chunk.pending))
+            target.service_room = [max(0, room - need) for room in target.service_room]
+            shard.moved_us[chunk.uid] = self.ctx.now_us
+            shard.recorder.move(chunk, sorted(chunk.pending), target.shard, split)
+
+    def quick_rooms(self) -> list[int]:
+        """CPUs in every shard that services could have on machines quick enough for them."""
+        rooms = {s.index: s.quick_room() for s in self.shards.values()}
+        for reported in self.peer_loads():
+            rooms.setdefault(reported.shard, reported.quick_room)
+        return list(rooms.values())
+
+    def _move_waiting(self) -> None:
+        """Waiting work goes to peers that report room."""
+        if not self.ownership.entitled():
+            return
+        for shard in self.shards.values():
+            self._move_services(shard)
+        _, _, room = self._stations()
+        for shard in self.shards.values():
+            moves = 0
+            for chunk in shard.ordered():
+                indices = shard.recorder.movable(chunk)
+                if not indices:
+                    continue
+                targets = [s for s in room if s != shard.index and room[s] > 0 and self.ownership.owner(s)]
+                if not targets or moves >= 2:
+                    break
+                target = max(targets, key=lambda s: (room[s], -s))
+                whole = chunk.spec.whole
+                if whole and room[target] < len(indices):
+                    continue
+                part = indices if whole else indices[: room[target]]
+                room[target] -= len(part)
+                moves += 1
+                shard.recorder.move(chunk, part, target)
+                for load in (ld for peer in self.peers.values() for ld in peer.beat.loads if ld.shard == target):
+                    load.room = max(0, load.room - len(part))
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -95,6 +95,10 @@
     def reply(self, request: int, status: int, body: Any = None, **headers: str) -> None:
         self.out.append(Reply(request, status, body, headers))
 
+    def state_ok(self) -> bool:
+        """Whether the state service answered this node lately."""
+        return self.now_us - self.state_ok_us < 3 * SECOND and self.view.loaded
+
     def note_state(self, status: int) -> None:
         if status in (200, 404, 409):
             self.state_ok_us = self.now_us
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -13,19 +13,15 @@
 from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.packing import Packer
+from quinceslip.coordination.refusals import Refusals
 from quinceslip.coordination.shard import Shard
-from quinceslip.coordination.state import Chunk, Worker, fits
+from quinceslip.coordination.state import Chunk, fits
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
 
 log = logging.getLogger(__name__)
 
 HIRE_MOST = 50
-#: a kind of machine that was refused is not asked for again so soon; twice as long each time, up to
-REFUSED_US = 12 * SECOND
-REFUSED_MOST_US = 48 * SECOND
-#: machine type, zone, spot
-Kind = tuple[str, str, bool]
 DELETE_MOST = 100
 #: a deleted machine costs at least this long (PROTOCOL)
 LEAST_PAID_US = 60 * SECOND
@@ -77,7 +73,7 @@
         self.next_plan_us = 0
         self.hires: dict[str, Hire] = {}
         self.counter = 0
-        self.blocked: dict[Kind, tuple[int, int]] = {}  # until when, and for how long
+        self.refusals = Refusals(ownership.home)
         self.deleting: set[str] = set()
         self.next_delete_us = 0
         self.next_adopt_us = 0
@@ -281,7 +277,7 @@
             else:
                 return  # 429, trouble or no answer: the same name again later
             if len(names) < record.count:
-                self._refused((record.type, record.zone, record.spot))
+                self.refusals.refused((record.type, record.zone, record.spot), self.ctx.now_us)
             log.info("hire %s: %d of %d %s in %s%s", hire.name, len(names), record.count, record.type,
                      record.zone, " (spot)" if record.spot else "")
             hire.names = names
@@ -317,37 +313,6 @@
         self.ctx.txn(conditions, puts, [] if rest else [records.hire_key(hire.name)], done,
                      Urgency.ROSTER)
 
-    # What the cloud refuses.
-
-    def _refused(self, kind: Kind) -> None:
-        """A kind of machine that was refused is left alone, longer each time."""
-        until_us, pause_us = self.blocked.get(kind, (0, 0))
-        long_ago = self.ctx.now_us > until_us + REFUSED_MOST_US
-        pause_us = REFUSED_US if long_ago or not pause_us else min(2 * pause_us, REFUSED_MOST_US)
-        self.blocked[kind] = (self.ctx.now_us + pause_us + self._stagger_us(), pause_us)
-
-    def _stagger_us(self) -> int:
-        """Controllers ask again one after the other, so that the first one's answer serves the others."""
-        return self.ownership.home * 3 * SECOND // 2
-
-    def refusals(self) -> list[tuple[str, str, bool, int]]:
-        """What peers need not ask for, each with the microseconds that are left."""
-        now_us = self.ctx.now_us
-        return [(*kind, until_us - now_us) for kind, (until_us, _) in self.blocked.items() if until_us > now_us]
-
-    def heard_refusals(self, refusals: list[tuple[str, str, bool, int]]) -> None:
-        for label, zone, spot, left_us in refusals:
-            kind = (label, zone, spot)
-            until_us, pause_us = self.blocked.get(kind, (0, REFUSED_US))
-            left_us = min(left_us, REFUSED_MOST_US) + self._stagger_us()
-            if self.ctx.now_us + left_us > until_us + SECOND:
-                self.blocked[kind] = (self.ctx.now_us + left_us, max(pause_us, REFUSED_US))
-
-    def _room_again(self, worker: Worker | None) -> None:
-        """A machine that is returned makes room for one of its kind."""
-        if worker is not None and worker.type is not None:
-            self.blocked.pop((worker.type.label, worker.zone, worker.spot), None)
-
     def _hire(self, shard: Shard, machine_type: str, zone: str, spot: bool, count: int) -> None:
         self.counter += 1
         # The term is this owner's alone and the counter is never reset, so no name comes twice.
@@ -495,7 +460,7 @@
                 for cheap in ([True, False] if spot else [False]):
                     if not cheap and dear <= 0:
                         continue
-                    if self.blocked.get((kind.label, zone, cheap), (0, 0))[0] > self.ctx.now_us:
+                    if self.refusals.rests((kind.label, zone, cheap), self.ctx.now_us):
                         continue
                     price = (kind.spot_price if cheap else kind.price) / (per_machine * max(spec.cpus, 0.01))
                     options.append((price, in_zone[zone], kind.label, zone, cheap, machines if cheap else dear))
@@ -611,7 +576,9 @@
             self.deleting.difference_update(names)
             if status == 200:
                 for name in names:
-                    self._room_again(shard.workers.get(name))
+                    worker = shard.workers.get(name)
+                    if worker is not None and worker.type is not None:
+                        self.refusals.room_again((worker.type.label, worker.zone, worker.spot))
                     self._forget(shard, name, "returned")
             else:
                 self.next_delete_us = self.ctx.now_us + SECOND
--- /dev/null
+++ b/quinceslip/coordination/users.py
@@ -0,0 +1,202 @@
+"""What users are told: submissions, polls and cancellations, each behind the reads that make it true."""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from quinceslip.coordination.balancing import Balancer
+from quinceslip.coordination.context import SECOND, Context
+from quinceslip.coordination.effects import Urgency, UserRequest
+from quinceslip.coordination.shard import Shard
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records, tasksets
+
+log = logging.getLogger(__name__)
+
+MAX_WAITING_POLLS = 500
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A user's request that needs a read barrier."""
+
+    request: int
+    uid: str
+    since_us: int
+    then: str = "status"
+    absent: tuple[int, object] = (404, {"error": "no such job"})
+
+
+class Users:
+    def __init__(self, ctx: Context, shards: dict[int, Shard], balancer: Balancer) -> None:
+        self.ctx = ctx
+        self.shards = shards
+        self.balancer = balancer
+        self.polls: list[Waiting] = []  # for the next barrier
+        self.behind: list[tuple[int, list[Waiting]]] = []  # for the view to catch up
+        self.cancels: list[tuple[int, str, int, int]] = []  # to be tried again
+        self.barrier_busy = False
+
+    def tick(self) -> None:
+        now_us = self.ctx.now_us
+        due = [c for c in self.cancels if c[3] <= now_us]
+        self.cancels = [c for c in self.cancels if c[3] > now_us]
+        for request, uid, tries, _ in due:
+            self._cancel(request, uid, tries)
+        self.caught_up()
+
+    def take(self, request: UserRequest) -> None:
+        if request.verb == "submit":
+            self._submit(request.request, request.spec)
+        elif request.verb == "poll":
+            self._poll(request.request, request.uid)
+        else:
+            self._cancel(request.request, request.uid, 3)
+
+    def _unavailable(self, request: int) -> None:
+        self.ctx.reply(request, 503, {"error": "cannot decide yet"}, **{"Retry-After": "1"})
+
+    def _status(self, uid: str, job: records.JobRecord) -> dict[str, object]:
+        if records.is_final(job):
+            return m.job_answer(uid, job.state, job.done, 0)
+        running = sum(1 for s in self.shards.values() if uid in s.chunks
+                      for a in s.chunks[uid].attempts.values() if a.state == m.RUNNING)
+        done = records.done_count(self.ctx.view, uid)
+        return m.job_answer(uid, m.RUNNING if running else m.QUEUED, done, running)
+
+    def _never_runs(self, spec: m.JobSpec) -> str | None:
+        """Why a job can never run; None if it can."""
+        team = self.ctx.team(spec.team)
+        if team is None:
+            return "unknown team"
+        kinds = [t for t in self.ctx.types.values() if spec.types is None or t.label in spec.types]
+        if not any(t.cpus >= spec.cpus and t.gpus >= spec.gpus and t.memory_gb >= spec.memory_gb
+                   and (spec.zone is None or spec.zone in t.zones) for t in kinds):
+            return "fits no allowed machine type"
+        count = spec.tasks if spec.service or spec.gang else 1
+        if (team.cpus_max and spec.cpus * count > team.cpus_max) or (
+                team.gpus_max and spec.gpus * count > team.gpus_max):
+            return "over the team's limit"
+        return None
+
+    def _submit(self, request: int, spec: m.JobSpec) -> None:
+        ctx = self.ctx
+        uid = spec.uid
+        known = ctx.view.job(uid)
+        if known is not None:
+            self._poll(request, uid)
+            return
+        if not ctx.view.loaded or not ctx.types or not self.ctx.state_ok():
+            self._unavailable(request)
+            return
+        why = self._never_runs(spec)
+        if why is not None:
+            # Not before it is sure that the job is not known: an accepted job never gets 422.
+            self._poll(request, uid, absent=(422, {"error": why}))
+            return
+        shard = self.balancer.shard_for(spec)
+        if shard is None:
+            self._unavailable(request)
+            return
+        everything = tasksets.encode(set(range(spec.tasks)))
+        job = records.JobRecord(m.QUEUED, spec.tasks, spec, shard, records.Chunk(everything), ctx.wall_us)
+
+        def done(status: int, failed: list[str]) -> None:
+            if status == 200:
+                self.balancer.accepted(spec)
+                log.debug("accepted %s: %d tasks of %s for shard %d", uid, spec.tasks, spec.job_class, shard)
+                ctx.reply(request, 201, m.job_answer(uid, m.QUEUED))
+            elif status == 409:
+                self._poll(request, uid)
+            else:
+                self._unavailable(request)
+
+        ctx.txn({records.job_key(uid): 0}, {records.job_key(uid): (job, None)}, [], done, Urgency.USER)
+
+    def _poll(self, request: int, uid: str, then: str = "status",
+              absent: tuple[int, object] = (404, {"error": "no such job"})) -> None:
+        job = self.ctx.view.job(uid)
+        if job is not None and records.is_final(job):
+            self.ctx.reply(request, 200, self._status(uid, job))
+            return
+        if len(self.polls) >= MAX_WAITING_POLLS:
+            self._unavailable(request)
+            return
+        self.polls.append(Waiting(request, uid, self.ctx.now_us, then, absent))
+        if not self.barrier_busy:
+            self._barrier()
+
+    def _barrier(self) -> None:
+        """One read of the ledger serves every waiting poll; then the view must have caught up."""
+        waiting, self.polls = self.polls, []
+        self.barrier_busy = True
+
+        def done(status: int, body: bytes) -> None:
+            self.barrier_busy = False
+            self.ctx.note_state(status)
+            ledger = None
+            if status == 404:
+                try:
+                    ledger = msgspec.json.decode(body, type=m.TxnAnswer).ledger
+                except msgspec.DecodeError as error:
+                    log.error("state service answered nonsense: %s", error)
+            if ledger is None:
+                for entry in waiting:
+                    self._unavailable(entry.request)
+            else:
+                self.behind.append((ledger, waiting))
+                self.caught_up()
+            if self.polls and not self.barrier_busy:
+                self._barrier()
+
+        self.ctx.call("state", "GET", f"{m.PATH_KV}/{records.NOTHING}", None, done, timeout_us=SECOND)
+
+    def caught_up(self) -> None:
+        behind, self.behind = self.behind, []
+        for ledger, waiting in behind:
+            if self.ctx.view.loaded and self.ctx.view.ledger >= ledger:
+                for entry in waiting:
+                    self._after_barrier(entry)
+            elif waiting and self.ctx.now_us - waiting[0].since_us < 3 * SECOND // 2:
+                self.behind.append((ledger, waiting))
+            else:
+                for entry in waiting:
+                    self._unavailable(entry.request)
+
+    def _after_barrier(self, entry: Waiting) -> None:
+        job = self.ctx.view.job(entry.uid)
+        if job is None:
+            self.ctx.reply(entry.request, *entry.absent)
+        elif entry.then == "cancel":
+            self._cancel(entry.request, entry.uid, 3)
+        else:
+            self.ctx.reply(entry.request, 200, self._status(entry.uid, job))
+
+    def _cancel(self, request: int, uid: str, tries: int) -> None:
+        ctx = self.ctx
+        job = ctx.view.job(uid)
+        if job is not None and records.is_final(job):
+            ctx.reply(request, 200, m.job_answer(uid, job.state))
+            return
+        if job is None or not self.ctx.state_ok():
+            # A job this node has not heard of yet may exist all the same.
+            if job is None:
+                self._poll(request, uid, then="cancel")
+            else:
+                self._unavailable(request)
+            return
+        parts = [records.part_key(s, uid) for s in job.parts if ctx.view.stamp(records.part_key(s, uid))]
+        key = records.job_key(uid)
+        final = records.final_record(job, m.WITHDRAWN, records.done_count(ctx.view, uid))
+
+        def done(status: int, failed: list[str]) -> None:
+            if status == 200:
+                log.info("job %s is withdrawn", uid)
+                ctx.reply(request, 200, m.job_answer(uid, m.WITHDRAWN))
+            elif status == 409 and tries > 1:
+                self.cancels.append((request, uid, tries - 1, ctx.now_us + 200_000))
+            else:
+                self._unavailable(request)
+
+        ctx.txn({key: ctx.view.stamp(key)}, {key: (final, None)}, parts, done, Urgency.USER)
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -76,15 +76,16 @@
                               timeout=60, check=False)
 
     assert run("--version").stdout.startswith("quinceslip ")
-    assert "--operator-config" in run("--help").stdout
+    assert "check" in run("--help").stdout and "--operator-config" in run("run", "--help").stdout
+    assert run().returncode == run("surprise").returncode == run("--config", "x").returncode == 2
     bad = tmp / "bad.toml"
     bad.write_text(settings_text().replace("lease_s = 10.0", ""))
-    found = run("--config", str(bad))
+    found = run("run", "--config", str(bad))
     assert found.returncode == 2 and "lease_s" in found.stderr and len(found.stderr.strip().splitlines()) == 1
     good = tmp / "good.toml"
     good.write_text(settings_text())
-    assert run("--config", str(good), "--check").returncode == 0
-    assert run("--config", str(tmp / "none.toml"), "--check").returncode == 2
+    assert run("check", "--config", str(good)).returncode == 0
+    assert run("check", "--config", str(tmp / "none.toml")).returncode == 2
 
 
 def _frames(tmp: Path) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -126,7 +126,7 @@
         # So little memory that no more than 64 connections are served at once.
         config.write_text(settings_text(api=port, peer=_free_port(), cloud=outside.port, state=outside.port)
                           + "[facts.limits]\nmemory_mb = 45.0\n")
-        process = subprocess.Popen([sys.executable, str(ROOT / "run.py"), "--config", str(config)],
+        process = subprocess.Popen([sys.executable, str(ROOT / "run.py"), "run", "--config", str(config)],
                                    env={**os.environ, "LOG_LEVEL": "error"})
         try:
             _serve(process, port)
