--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -7,7 +7,16 @@
 from pathlib import Path
 
 from quinceslip import __version__
-from quinceslip.protocol.settings import Settings, SettingsError, Tuning, load_settings, load_tuning
+from quinceslip.coordination.subsystem import Maker
+from quinceslip.protocol.settings import (
+    Settings,
+    SettingsError,
+    Tuning,
+    load_settings,
+    load_tuning,
+    read_operator_file,
+)
+from quinceslip.subsystems import makers
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -23,16 +32,48 @@
         command.add_argument("--config", type=Path, required=True, metavar="FILE",
                              help="settings that the platform hands over (TOML)")
         command.set_defaults(act=run if name == "run" else check)
+    _quota_commands(commands)
     return made
 
 
-def _load(arguments: argparse.Namespace) -> tuple[Settings, Tuning, str]:
+def _quota_commands(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    quota = commands.add_parser("quota", help="check a tree of quotas, or show it as a controller sees it")
+    parts = quota.add_subparsers(dest="part", required=True, metavar="COMMAND")
+    checked = parts.add_parser("check", help="check the tree in an operators' file")
+    checked.add_argument("file", type=Path, metavar="FILE")
+    checked.add_argument("--config", type=Path, metavar="FILE",
+                         help="the platform's settings, for its teams; else levels with none beneath them are teams")
+    checked.set_defaults(act=quota_check)
+    show = parts.add_parser("show", help="the tree as a controller sees it")
+    show.add_argument("--from", dest="address", required=True, metavar="ADDRESS", help="a controller's api_addr")
+    show.add_argument("--json", action="store_true", help="one JSON object instead of a table")
+    show.set_defaults(act=quota_show)
+
+
+def quota_check(arguments: argparse.Namespace) -> int:
+    from quinceslip.quota.commands import check_file
+
+    print(check_file(arguments.file, arguments.config))
+    return 0
+
+
+def quota_show(arguments: argparse.Namespace) -> int:
+    from quinceslip.quota.commands import fetch, lines
+
+    for line in lines(fetch(arguments.address), arguments.json):
+        print(line)
+    return 0
+
+
+def _load(arguments: argparse.Namespace) -> tuple[Settings, Tuning, str, list[Maker]]:
     settings = load_settings(arguments.config)
-    tuning = load_tuning(arguments.operator_config)
+    operators = read_operator_file(arguments.operator_config)
+    tuning = load_tuning(arguments.operator_config, operators)
+    made = makers(settings, operators, str(arguments.operator_config or arguments.config))
     level = os.environ.get("LOG_LEVEL") or tuning.log_level or "error"
     if level not in LEVELS:
         raise SettingsError(f"LOG_LEVEL = {level}: must be error, info or debug")
-    return settings, tuning, level
+    return settings, tuning, level, made
 
 
 def check(arguments: argparse.Namespace) -> int:
@@ -42,13 +83,13 @@
 
 
 def run(arguments: argparse.Namespace) -> int:
-    settings, tuning, level = _load(arguments)
+    settings, tuning, level, made = _load(arguments)
     logging.basicConfig(level=LEVELS[level], stream=sys.stderr,
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     from quinceslip.service import Service  # only now: checking needs no sockets
 
     try:
-        Service(settings, tuning).run()
+        Service(settings, tuning, made).run()
     except OSError as error:
         logging.getLogger(__name__).error("%s: %s", settings.api_addr, error)
         return 1
--- a/quinceslip/coordination/balancing.py
+++ b/quinceslip/coordination/balancing.py
@@ -136,12 +136,8 @@
         self.levels = dict(zip(order, levels, strict=True))
         log.debug("arrivals %.2f/s, levels %s", total, self.levels)
 
-    def shard_for(self, spec: m.JobSpec) -> int | None:
-        """Home below its level, else as the paper forwards; a limited team has one fixed shard."""
-        team = self.ctx.team(spec.team)
-        if team is not None and (team.cpus_max or team.gpus_max):
-            names = sorted(t.name for t in self.ctx.settings.facts.teams)
-            return names.index(team.name) % self.ownership.size
+    def shard_for(self) -> int | None:
+        """Home below its level, else as the paper forwards."""
         stations, waiting, _ = self._stations()
         owned = {s for s in range(self.ownership.size) if self.ownership.owner(s)}
         if not owned:
--- a/quinceslip/coordination/effects.py
+++ b/quinceslip/coordination/effects.py
@@ -81,6 +81,15 @@
     spec: Any = None
 
 
+@dataclass(slots=True)
+class Asked:
+    """A question that a subsystem answers; `after` continues a page."""
+
+    request: int
+    question: str
+    after: str = ""
+
+
 @dataclass(slots=True)
 class Reported:
     request: int
@@ -106,4 +115,4 @@
     beat: Any
 
 
-Message = Tick | Settle | Answer | UserRequest | Reported | ViewReset | ViewChanges | PeerSaid
+Message = Tick | Settle | Answer | UserRequest | Asked | Reported | ViewReset | ViewChanges | PeerSaid
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -7,6 +7,7 @@
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.effects import (
     Answer,
+    Asked,
     Effect,
     Message,
     PeerSaid,
@@ -21,7 +22,7 @@
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.provision import Provisioner
 from quinceslip.coordination.shard import Shard
-from quinceslip.coordination.subsystem import Subsystem
+from quinceslip.coordination.subsystem import Maker
 from quinceslip.coordination.users import Users
 from quinceslip.protocol import frames
 from quinceslip.protocol import messages as m
@@ -32,18 +33,21 @@
 
 
 class Node:
-    def __init__(self, settings: Settings, tuning: Tuning, now_us: int, wall_us: int) -> None:
+    def __init__(self, settings: Settings, tuning: Tuning, now_us: int, wall_us: int,
+                 makers: Sequence[Maker] = ()) -> None:
         self.ctx = Context(settings, tuning, now_us, wall_us)
         self.ctx.changed = self._changed
         self.labels = sorted([settings.label, *(p.label for p in settings.known)])
         self.home = self.labels.index(settings.label)
         self.shards: dict[int, Shard] = {}
-        self.subsystems: Sequence[Subsystem] = []
         self.ownership = Ownership(self.ctx, self.home, self._gained, self._lost)
+        self.subsystems = [make(self.ctx, self.ownership, self.shards) for make in makers]
+        for subsystem in self.subsystems:
+            self.ctx.view.know(subsystem.kinds)
         self.balancer = Balancer(self.ctx, self.ownership, self.shards)
         self.provision = Provisioner(self.ctx, self.ownership, self.shards)
         self.provision.quick_rooms = self.balancer.quick_rooms
-        self.users = Users(self.ctx, self.shards, self.balancer)
+        self.users = Users(self.ctx, self.shards, self.balancer, self.subsystems)
         self.next_beat_us = 0
         self.next_summary_us = now_us + 30 * SECOND
         self.next_give_back_us = 0
@@ -64,6 +68,10 @@
                 ctx.reply(message.request, 200 if self.ready() else 503)
             else:
                 self.users.take(message)
+        elif isinstance(message, Asked):
+            answers = [s.answer(message.question, message.after) for s in self.subsystems
+                       if message.question in s.questions]
+            ctx.reply(message.request, 200 if answers else 404, answers[0] if answers else {"error": "no such path"})
         elif isinstance(message, ViewChanges):
             self.ownership.watch_sent_us = max(self.ownership.watch_sent_us, message.asked_us)
             ctx.state_ok_us = now_us
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -84,19 +84,29 @@
             return
         self.state.dirty = False
         queue = self.state.ordered()
-        if queue:
-            self._pass(queue, [w for w in self.state.workers.values() if self.usable(w)], True)
+        quota = self.state.quota
+        if not queue:
+            if quota is not None:
+                quota.claims.clear()
+            return
+        workers = [w for w in self.state.workers.values() if self.usable(w)]
+        for part in [queue] if quota is None else quota.rounds(queue, workers):
+            self._pass(part, workers, True)
 
     def fill(self, worker: Worker) -> None:
         """Place waiting tasks on one worker that has room again."""
         if self.state.dirty or not self.state.ownership.entitled() or not self.usable(worker):
             return
         if worker.type is not None and worker.type.cpus - worker.used_cpus > EPSILON:
-            queue = self.state.ordered()
+            queue, quota = self.state.ordered(), self.state.quota
+            if quota is not None:
+                queue.sort(key=lambda c: (c.spec.priority, quota.fair_key(c.spec.team), c.order()))
             if queue:
                 self._pass(queue, [worker], False)
 
     def _pass(self, queue: list[Chunk], workers: list[Worker], whole: bool) -> None:
+        if not queue:
+            return
         failed: Failed = {}
         least = min(c.spec.cpus for c in queue) - EPSILON
         roomy = [w for w in workers if w.type is not None and w.type.cpus - w.used_cpus >= least]
@@ -104,6 +114,8 @@
         for chunk in queue:
             if not whole and not roomy:
                 return
+            if not self._admits(chunk, whole):
+                continue
             if chunk.spec.gang:
                 if whole:
                     self._place_gang(chunk, roomy)
@@ -147,7 +159,7 @@
         try:
             for worker in self._by_preference(chunk, roomy, None):
                 while chunk.pending and fits(worker.free(), spec):
-                    if not self._team_allows(spec):
+                    if not self._allows(chunk, whole):
                         return
                     index = chunk.pending.peek()
                     chunk.pending.discard(index)
@@ -158,7 +170,7 @@
                     self._launch(chunk, index, worker)
                 if not chunk.pending:
                     return
-            while whole and chunk.pending and self._team_allows(spec):
+            while whole and chunk.pending and self._allows(chunk, whole, False):
                 spare = self._make_room(chunk, workers, None)
                 if spare is None:
                     stuck = True
@@ -178,7 +190,7 @@
         """Tasks bound by zones: each is placed by what those before it left."""
         spec = chunk.spec
         aside = self._paused(chunk)
-        while chunk.pending and self._team_allows(spec):
+        while chunk.pending and self._allows(chunk, whole):
             zones = self.zones_for(chunk)
             if (zones is not None and not zones) or self._hopeless(chunk, zones, failed, False):
                 break
@@ -207,7 +219,7 @@
         placed: list[Attempt] = []
         for index in list(chunk.pending):
             name = f"{chunk.uid}/{index}"
-            found = self._by_preference(chunk, roomy, self.zones_for(chunk)) if self._team_allows(chunk.spec) else []
+            found = self._by_preference(chunk, roomy, self.zones_for(chunk))
             worker = next((w for w in found if name not in w.attempts and name not in w.reported), None)
             if worker is None:
                 for attempt in placed:
@@ -274,8 +286,8 @@
 
     def _make_room(self, chunk: Chunk, workers: list[Worker], zones: set[str] | None) -> Worker | None:
         """Preempt lower priorities. Production takes the place at once; others wait for it."""
-        spec = chunk.spec
-        guaranteed = self._in_guarantee(spec.team, spec)
+        spec, quota = chunk.spec, self.state.quota
+        guaranteed = quota is not None and bool(quota.rests_on(spec))
         if spec.priority > 1 and not guaranteed:
             return None
         best: tuple[float, Worker, list[Attempt]] | None = None
@@ -291,15 +303,19 @@
                     room[0] += attempt.spec.cpus
                     room[1] += attempt.spec.gpus
                     room[2] += attempt.spec.memory_gb
+            search = quota.search(spec) if quota is not None and guaranteed else None
             victims = [a for a in worker.live() if a.seen and not a.halting and (
-                (spec.priority <= 1 and a.spec.priority > spec.priority)
-                or (guaranteed and a.spec.team != spec.team and not self._in_guarantee(a.spec.team, None)))]
+                (spec.priority <= 1 and a.spec.priority > spec.priority) or (search is not None and search.may(a)))]
             victims.sort(key=lambda a: (-a.spec.priority, a.spec.checkpoint_s == 0, -a.running_us))
             chosen: list[Attempt] = []
             lost = 0.0
             for victim in victims:
                 if fits((room[0], room[1], room[2]), spec):
                     break
+                if search is not None:
+                    if not search.may(victim):
+                        continue  # what was chosen before it leaves its team within its guarantee
+                    search.pick(victim)
                 chosen.append(victim)
                 room[0] += victim.spec.cpus
                 room[1] += victim.spec.gpus
@@ -319,39 +335,25 @@
             self.state.halt(victim, 0.0)
         return worker
 
-    # Teams.
-
-    def _in_guarantee(self, name: str, more: m.JobSpec | None) -> bool:
-        """Whether a team stays within its guarantee here, with one more task.
+    # Quotas.
 
-        Each shard answers for an equal part of it: what settings fix, no race can exceed.
-        """
-        team = self.ctx.team(name)
-        if team is None or not (team.cpus or team.gpus):
-            return False
-        part = 1 if team.cpus_max or team.gpus_max else self.ctx.settings.facts.size
-        cpus = more.cpus if more else 0.0
-        gpus = more.gpus if more else 0.0
-        for worker in self.state.workers.values():
-            for attempt in worker.attempts.values():
-                if attempt.spec.team == name and not attempt.ended:
-                    cpus += attempt.spec.cpus
-                    gpus += attempt.spec.gpus
-        return cpus <= team.cpus / part + EPSILON and gpus <= team.gpus / part + EPSILON
-
-    def _team_allows(self, spec: m.JobSpec) -> bool:
-        """A team with a limit has all its jobs on one shard, which alone counts its tasks."""
-        team = self.ctx.team(spec.team)
-        if team is None or not (team.cpus_max or team.gpus_max):
+    def _allows(self, chunk: Chunk, whole: bool, placeable: bool = True) -> bool:
+        """Whether one more task may start by its quotas; if not, they are told so in a whole pass."""
+        quota = self.state.quota
+        if quota is None or quota.allows(chunk.spec):
             return True
-        if self.state.unresolved:
-            # What an earlier owner had running of jobs that are over may be on a silent worker.
-            return False
-        cpus, gpus = spec.cpus, spec.gpus
-        for worker in self.state.workers.values():
-            for attempt in worker.attempts.values():
-                if attempt.spec.team == spec.team and (not attempt.ended or not self.state.settled(worker, attempt)):
-                    cpus += attempt.spec.cpus
-                    gpus += attempt.spec.gpus
-        return (not team.cpus_max or cpus <= team.cpus_max + EPSILON) and (
-            not team.gpus_max or gpus <= team.gpus_max + EPSILON)
+        if whole and not quota.waits_for_round():
+            quota.blocked(chunk, 1, placeable)
+        return False
+
+    def _admits(self, chunk: Chunk, whole: bool) -> bool:
+        """A gang, and a service of which nothing runs yet, starts within its quotas as a whole or not at all."""
+        quota, spec = self.state.quota, chunk.spec
+        if quota is None or not (spec.gang or (spec.service and not chunk.attempts)) or not chunk.pending:
+            return True
+        count = len(chunk.pending)
+        if quota.allows(spec, count):
+            return True
+        if whole and not quota.waits_for_round():
+            quota.blocked(chunk, count, True)
+        return False
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -211,9 +211,6 @@
         """Tasks certain not to be running; all or nothing where zones bind the tasks together."""
         if chunk.flushing or chunk.moving or chunk.limbo or chunk.unknown:
             return []
-        team = self.ctx.team(chunk.spec.team)
-        if team is not None and (team.cpus_max or team.gpus_max):
-            return []
         if chunk.spec.whole:
             whole = len(chunk.pending) == len(chunk.own) - len(chunk.done) and not chunk.new_done
             if not whole:
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -174,6 +174,8 @@
                     log.error("%s vanished from %s", name, worker.name)
                     self.requeue(worker, attempt)
                 self.detach(worker, name)
+        if self.quota is not None:
+            self.quota.reported(worker)
 
     def _discover(self, worker: Worker, name: str, task: m.TaskReport) -> Attempt | None:
         """A task we did not launch: one of an earlier owner's."""
@@ -331,7 +333,7 @@
                 self.commander.probe(worker)
 
     def _foresee(self) -> None:
-        queue = self.ordered()
+        queue = [c for c in self.ordered() if not c.held]
         if queue:
             slots, rate = self.station()
             cpus, _ = self.mean_task()
@@ -380,7 +382,7 @@
 
     def room(self) -> int:
         """Slots free right now."""
-        if any(c.pending for c in self.chunks.values()):
+        if any(c.pending and not c.held for c in self.chunks.values()):
             return 0
         cpus, _ = self.mean_task()
         return int(sum(w.free()[0] // max(cpus, 0.1) for w in self.workers.values() if self.placement.usable(w)))
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -8,11 +8,15 @@
 import logging
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.protocol import messages as m
 
+if TYPE_CHECKING:
+    from quinceslip.quota.gate import Gate
+
 log = logging.getLogger(__name__)
 
 #: attempts of one term; the term sits above, so attempts always rise
@@ -37,6 +41,8 @@
     direct: bool = False  # a /do with its launch is in flight
     unanswered_term: int = 0  # a /do with its launch was never answered, sent under this term
     told: bool = False  # its launch or halt went out already
+    counted: tuple[int, int, int, int] | None = None  # what quotas count of it
+    yields: bool = False  # quotas count it among what was told to stop
     name: str = ""
 
     def __post_init__(self) -> None:
@@ -176,6 +182,7 @@
     zones: set[str] = field(default_factory=set)  # empty: any
     due_us: list[int] = field(default_factory=list)  # wall clocks by which the users want it done, earliest first
     late: int = 0  # how many of these it is expected to miss
+    held: bool = False  # only its quota keeps it from starting
 
     def order(self) -> tuple[int, int, int, str]:
         """Priority, then first come, first served; what cannot be on time any more comes last.
@@ -208,6 +215,7 @@
         self.to_tell: set[str] = set()  # workers with commands that have not gone out
         self.queued: dict[str, Chunk] = {}  # chunks that have had waiting tasks lately
         self.there: dict[str, set[Attempt]] = {}  # what of a job may still be on machines
+        self.quota: Gate | None = None  # where quotas are switched on
 
     # Attempts.
 
@@ -217,6 +225,8 @@
         if not attempt.ended:
             worker.count(attempt.spec, 1)
         self.there.setdefault(attempt.uid, set()).add(attempt)
+        if self.quota is not None:
+            self.quota.enter(attempt)
 
     def detach(self, worker: Worker, name: str) -> None:
         attempt = worker.attempts.pop(name, None)
@@ -224,6 +234,8 @@
             return
         if not attempt.ended:
             worker.count(attempt.spec, -1)
+        if self.quota is not None:
+            self.quota.leave(attempt)
         places = self.there.get(attempt.uid)
         if places is not None:
             places.discard(attempt)
@@ -235,6 +247,8 @@
         if not attempt.ended and worker is not None and worker.attempts.get(attempt.name) is attempt:
             worker.count(attempt.spec, -1)
         attempt.ended = why
+        if self.quota is not None:
+            self.quota.ended(worker, attempt)
 
     def settled(self, worker: Worker, attempt: Attempt) -> bool:
         """No launch of this attempt can still arrive."""
@@ -252,6 +266,8 @@
         if not attempt.halting or grace_s < attempt.grace_s:
             attempt.halting, attempt.grace_s, attempt.told = True, grace_s, False
             self.to_tell.add(attempt.worker)
+            if self.quota is not None:
+                self.quota.halts(attempt)
 
     # Waiting tasks.
 
@@ -271,7 +287,8 @@
         return sorted(self.queued.values(), key=Chunk.order)
 
     def waiting(self) -> int:
-        return sum(len(c.pending) for c in self.queued.values() if self.chunks.get(c.uid) is c)
+        """Tasks that wait for a machine; what waits for its quota alone is no load."""
+        return sum(len(c.pending) for c in self.queued.values() if self.chunks.get(c.uid) is c and not c.held)
 
     def requeue(self, worker: Worker | None, attempt: Attempt) -> None:
         self.end(worker, attempt, "lost")
--- a/quinceslip/coordination/subsystem.py
+++ b/quinceslip/coordination/subsystem.py
@@ -5,9 +5,11 @@
 switched off it is not made at all, so nothing of it is loaded.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
+from quinceslip.coordination.context import Context
+from quinceslip.coordination.ownership import Ownership
 from quinceslip.protocol import messages as m
 
 if TYPE_CHECKING:
@@ -44,3 +46,7 @@
     def answer(self, question: str, after: str) -> Any:
         """The answer to one of `questions`; `after` continues a page."""
         return None
+
+
+#: makes a subsystem out of what a node shares with it: context, rights, and the shards that are its own
+Maker = Callable[[Context, Ownership, "dict[int, Shard]"], Subsystem]
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -1,6 +1,7 @@
 """What users are told: submissions, polls and cancellations, each behind the reads that make it true."""
 
 import logging
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -9,6 +10,7 @@
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.effects import Urgency, UserRequest
 from quinceslip.coordination.shard import Shard
+from quinceslip.coordination.subsystem import Subsystem
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records, tasksets
 
@@ -29,10 +31,12 @@
 
 
 class Users:
-    def __init__(self, ctx: Context, shards: dict[int, Shard], balancer: Balancer) -> None:
+    def __init__(self, ctx: Context, shards: dict[int, Shard], balancer: Balancer,
+                 subsystems: Sequence[Subsystem]) -> None:
         self.ctx = ctx
         self.shards = shards
         self.balancer = balancer
+        self.subsystems = subsystems
         self.polls: list[Waiting] = []  # for the next barrier
         self.behind: list[tuple[int, list[Waiting]]] = []  # for the view to catch up
         self.cancels: list[tuple[int, str, int, int]] = []  # to be tried again
@@ -67,18 +71,13 @@
 
     def _never_runs(self, spec: m.JobSpec) -> str | None:
         """Why a job can never run; None if it can."""
-        team = self.ctx.team(spec.team)
-        if team is None:
+        if self.ctx.team(spec.team) is None:
             return "unknown team"
         kinds = [t for t in self.ctx.types.values() if spec.types is None or t.label in spec.types]
         if not any(t.cpus >= spec.cpus and t.gpus >= spec.gpus and t.memory_gb >= spec.memory_gb
                    and (spec.zone is None or spec.zone in t.zones) for t in kinds):
             return "fits no allowed machine type"
-        count = spec.tasks if spec.service or spec.gang else 1
-        if (team.cpus_max and spec.cpus * count > team.cpus_max) or (
-                team.gpus_max and spec.gpus * count > team.gpus_max):
-            return "over the team's limit"
-        return None
+        return next((why for s in self.subsystems if (why := s.never_runs(spec)) is not None), None)
 
     def _submit(self, request: int, spec: m.JobSpec) -> None:
         ctx = self.ctx
@@ -95,7 +94,7 @@
             # Not before it is sure that the job is not known: an accepted job never gets 422.
             self._poll(request, uid, absent=(422, {"error": why}))
             return
-        shard = self.balancer.shard_for(spec)
+        shard = self.balancer.shard_for()
         if shard is None:
             self._unavailable(request)
             return
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -12,6 +12,10 @@
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
 
+#: subsystems with sections of their own in the operators' file
+SUBSYSTEMS = ("quota",)
+
+
 class SettingsError(Exception):
     """A settings file that cannot be used; the text names the field."""
 
@@ -135,19 +139,28 @@
     return settings
 
 
-def load_tuning(path: Path | None) -> Tuning:
-    """Read the operators' own INI file, section [quinceslip]; errors name key and value."""
-    if path is None:
-        return Tuning()
+def read_operator_file(path: Path | None) -> configparser.ConfigParser:
+    """The operators' own INI file; without one, nothing is set in it.
+
+    Sections of subsystems begin with the subsystem's name and are checked by it.
+    """
     parser = configparser.ConfigParser(interpolation=None)
+    if path is None:
+        return parser
     try:
         with path.open(encoding="utf-8") as handle:
-            parser.read_file(handle)
+            parser.read_file(handle, str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         raise SettingsError(f"{path}: {str(error).splitlines()[0]}") from error
     for section in parser.sections():
-        if section != "quinceslip":
+        if section != "quinceslip" and section.split(" ")[0] not in SUBSYSTEMS:
             raise SettingsError(f"{path}: unknown section [{section}]")
+    return parser
+
+
+def load_tuning(path: Path | None, parser: configparser.ConfigParser | None = None) -> Tuning:
+    """Section [quinceslip] of the operators' own file; errors name key and value."""
+    parser = read_operator_file(path) if parser is None else parser
     raw = dict(parser["quinceslip"]) if parser.has_section("quinceslip") else {}
     known = {f.name for f in msgspec.structs.fields(Tuning)}
     for key, value in raw.items():
--- /dev/null
+++ b/quinceslip/quota/commands.py
@@ -0,0 +1,73 @@
+"""`quinceslip quota check` and `quinceslip quota show`."""
+
+import http.client
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from quinceslip.protocol.settings import SettingsError, Team, load_settings, read_operator_file, split_address
+from quinceslip.quota.config import SECTION, load_tree
+from quinceslip.quota.show import table
+
+TIMEOUT_S = 5.0
+
+
+def check_file(path: Path, config: Path | None) -> str:
+    """One line that says what the tree has; raises SettingsError for the first thing wrong with it."""
+    parser = read_operator_file(path)
+    if config is not None:
+        teams = load_settings(config).facts.teams
+    else:
+        names = {s[len(SECTION):].strip() for s in parser.sections() if s.startswith(SECTION + " ")}
+        parents = {parser.get(s, "parent", fallback="").strip() for s in parser.sections()}
+        listed = {t.strip() for s in parser.sections() for t in parser.get(s, "teams", fallback="").split(",")}
+        with_teams = {s[len(SECTION):].strip() for s in parser.sections() if parser.has_option(s, "teams")}
+        teams = [Team(name) for name in sorted((names | listed) - parents - with_teams - {""})]
+    tree = load_tree(parser, teams, str(path))
+    if tree is None:
+        return f"{path}: no level has a cap or a guarantee: quotas are off"
+    leaves = sum(level.team for level in tree.levels)
+    return f"{path}: fine: version {tree.version}, {len(tree.levels)} levels, {leaves} of them teams"
+
+
+def fetch(address: str) -> dict[str, Any]:
+    """All pages of a controller's answer; raises SettingsError for an address that gives none."""
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise SettingsError(f"--from {address}: {error}") from error
+    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    found: dict[str, Any] = {"levels": []}
+    after = ""
+    try:
+        while True:
+            connection.request("GET", f"/quota?after={quote(after)}")
+            answer = connection.getresponse()
+            body = answer.read()
+            if answer.status == 404:
+                raise SettingsError(f"--from {address}: this controller has no quotas switched on")
+            if answer.status != 200:
+                raise SettingsError(f"--from {address}: answered {answer.status}; try again later")
+            part = msgspec.json.decode(body, type=dict[str, Any])
+            found = {**part, "levels": [*found["levels"], *part["levels"]]}
+            if not part["more"] or not part["levels"]:
+                return found
+            after = part["levels"][-1]["level"]
+    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+        raise SettingsError(f"--from {address}: {error}") from error
+    finally:
+        connection.close()
+
+
+def lines(found: dict[str, Any], as_json: bool) -> Iterable[str]:
+    if as_json:
+        yield msgspec.json.encode(found).decode()
+        return
+    shards = ", ".join(str(s) for s in found["shards"]) or "none"
+    yield f"version {found['version']} (in force: {found['in_force']}), of shards {shards}"
+    if found["trouble"]:
+        yield found["trouble"]
+    yield from table(found["levels"])
--- /dev/null
+++ b/quinceslip/quota/gate.py
@@ -0,0 +1,371 @@
+"""What placement asks of the quotas of one shard: may this start here now, and whose work gives way to it.
+
+The gate counts every task that may still be on a machine of the shard, along the path of its team, as
+tasks come and go. It reads what the shard holds from the purses and never writes. What is short is noted
+as a claim, which the keeper takes to the state service.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from itertools import groupby
+
+from quinceslip.coordination.state import Attempt, Chunk, ShardState, Worker
+from quinceslip.protocol import messages as m
+from quinceslip.quota.fair import divide
+from quinceslip.quota.grants import may_start
+from quinceslip.quota.purses import Purses
+from quinceslip.quota.tree import KINDS, UNLIMITED, ZERO, Amounts, Tree, add, positive, task_amounts, times, within
+
+#: shares are compared in parts of what a parent has
+ONE = 1 << 30
+
+
+@dataclass(slots=True)
+class Claim:
+    """What a team's waiting work lacks."""
+
+    team: str
+    #: the least that helps: one task, or all of a gang or service
+    unit: Amounts
+    #: what all waiting tasks of the team could use
+    need: Amounts
+    #: machines have room for it; then priority, acceptance and id: a total order over all shards
+    order: tuple[int, int, int, str]
+    spec: m.JobSpec
+    count: int
+
+
+class Gate:
+    def __init__(self, tree: Tree, purses: Purses, state: ShardState) -> None:
+        self.tree = tree
+        self.purses = purses
+        self.state = state
+        self.use: dict[int, Amounts] = {}  # by level; only levels that are in use
+        self.going: dict[int, Amounts] = {}  # the part of it that was told to stop
+        self.teams: dict[str, dict[Attempt, None]] = {}  # what is counted, by team
+        self.unsettled: dict[Attempt, None] = {}  # ended, while a launch of it may still arrive
+        self.strange: set[str] = set()  # workers with tasks of which the team is not known
+        self.claims: dict[str, Claim] = {}
+        self.targets: dict[int, Amounts] = {}  # of the present round of a pass
+        self.held_back = False  # by a target, not by a limit
+        self.last_held_back = False  # the last refusal was a target's
+        self.demand: dict[int, Amounts] = {}  # of waiting work, by level with a guarantee
+        self.capacity: Amounts = ZERO
+        self.promised: dict[int, Amounts] = {}  # room that claims of this pass have been made
+        self.victims: list[Attempt] | None = None  # what could be stopped, in order, for this pass
+        self.stopped = 0  # tasks told to make room for others' quota, for tests and the log
+
+    # Counting.
+
+    def enter(self, attempt: Attempt) -> None:
+        path = self.tree.path(attempt.spec.team)
+        if path and attempt.counted is None:
+            attempt.counted = task_amounts(attempt.spec)
+            self._count(self.use, path, attempt.counted, 1)
+            self.teams.setdefault(attempt.spec.team, {})[attempt] = None
+
+    def leave(self, attempt: Attempt) -> None:
+        self.unsettled.pop(attempt, None)
+        if attempt.counted is None:
+            return
+        path = self.tree.path(attempt.spec.team)
+        self._count(self.use, path, attempt.counted, -1)
+        if attempt.yields:
+            self._count(self.going, path, attempt.counted, -1)
+            attempt.yields = False
+        attempt.counted = None
+        there = self.teams[attempt.spec.team]
+        del there[attempt]
+        if not there:
+            del self.teams[attempt.spec.team]
+
+    def ended(self, worker: Worker | None, attempt: Attempt) -> None:
+        """It takes room no longer, unless a launch of it can still arrive."""
+        if worker is None or self.state.settled(worker, attempt):
+            self.leave(attempt)
+        else:
+            self.unsettled[attempt] = None
+
+    def halts(self, attempt: Attempt) -> None:
+        if attempt.counted is not None and not attempt.yields:
+            attempt.yields = True
+            self._count(self.going, self.tree.path(attempt.spec.team), attempt.counted, 1)
+
+    def reported(self, worker: Worker) -> None:
+        """A task on a machine that is not counted (of a job that is over, say) is somebody's use."""
+        known = worker.attempts
+        if any(t.state != m.EXITED and (n not in known or known[n].number != t.attempt)
+               for n, t in worker.reported.items()):
+            self.strange.add(worker.name)
+        else:
+            self.strange.discard(worker.name)
+
+    @staticmethod
+    def _count(sums: dict[int, Amounts], path: Iterable[int], amounts: Amounts, by: int) -> None:
+        for level in path:
+            total = add(sums.get(level, ZERO), amounts, by)
+            if any(total):
+                sums[level] = total
+            else:
+                sums.pop(level, None)
+
+    def net(self, level: int) -> Amounts:
+        """Use without what was told to stop."""
+        return add(self.use.get(level, ZERO), self.going.get(level, ZERO), -1)
+
+    # May it start.
+
+    def open(self) -> bool:
+        """Whether all that is used in this shard is known."""
+        state = self.state
+        for name in [n for n in self.strange if n not in state.workers or state.workers[n].lost]:
+            self.strange.discard(name)
+        stamp = state.ownership.stamps.get(state.index, UNLIMITED)
+        return may_start(state.ownership.entitled(), not state.unresolved and not self.strange,
+                         state.ctx.view.ledger >= stamp)
+
+    def allows(self, spec: m.JobSpec, count: int = 1) -> bool:
+        """Whether that many tasks may start now, by every level above them."""
+        path = self.tree.path(spec.team)
+        if not path:
+            return True
+        need = times(task_amounts(spec), count)
+        self.last_held_back = False
+        if any(self.tree.levels[level].capped for level in path) and not self.open():
+            return False
+        for level in path:
+            used = add(self.use.get(level, ZERO), need)
+            if self.tree.levels[level].capped:
+                purse = self.purses.cap(level)
+                if not within(used, purse.limit(self.state.index)) or purse.over(need) \
+                        or not self.purses.confirmed(level):
+                    return False
+            target = self.targets.get(level)
+            if target is not None and not within(used, target):
+                self.held_back = self.last_held_back = True
+                return False
+        return True
+
+    def waits_for_round(self) -> bool:
+        """Whether the last refusal was only for the sake of others in this round, with another to come."""
+        return self.last_held_back
+
+    def startable(self, spec: m.JobSpec) -> int:
+        """How many tasks machines may be rented for: what the shard holds or can take from the pools."""
+        need, most = task_amounts(spec), spec.tasks
+        for level in self.tree.path(spec.team):
+            if self.tree.levels[level].capped:
+                purse = self.purses.cap(level)
+                room = add(add(purse.limit(self.state.index), positive(purse.pool())), self.net(level), -1)
+                most = min([most, *(max(0, r) // n for r, n in zip(room, need, strict=True) if n)])
+        return most
+
+    # The order of a pass.
+
+    def rounds(self, queue: Sequence[Chunk], workers: Iterable[Worker]) -> Iterator[list[Chunk]]:
+        """The queue in rounds: priority by priority; first each level within its part, then what is left over.
+
+        Without a second round, room would stay empty that nobody entitled to it can use.
+        """
+        for attempt in list(self.unsettled):
+            machine = self.state.workers.get(attempt.worker)
+            if machine is None or self.state.settled(machine, attempt):
+                self.leave(attempt)
+        self.claims.clear()
+        self.promised.clear()
+        self.victims = None
+        sizes = [w.type for w in workers if w.type is not None]
+        self.capacity = (int(sum(t.cpus for t in sizes) * 1000), int(sum(t.gpus for t in sizes) * 1000),
+                         int(sum(t.memory_gb for t in sizes) * 1000), UNLIMITED)
+        self.demand.clear()
+        for chunk in queue:
+            chunk.held = False
+            path = [level for level in self.tree.path(chunk.spec.team) if self.tree.levels[level].guaranteed]
+            if path:
+                self._count(self.demand, path, times(task_amounts(chunk.spec), len(chunk.pending)), 1)
+        for _, group in groupby(queue, key=lambda c: c.spec.priority):
+            chunks = list(group)
+            self.held_back = False
+            self.targets = self._targets(chunks) if len({c.spec.team for c in chunks}) > 1 else {}
+            yield chunks
+            if self.held_back:
+                self.targets = {}
+                yield [c for c in chunks if c.pending]
+        self.targets = {}
+
+    def _targets(self, chunks: Sequence[Chunk]) -> dict[int, Amounts]:
+        """What each level should use after this round: use so far, and a fair part of what is left."""
+        need: dict[int, Amounts] = {}
+        for chunk in chunks:
+            path = self.tree.path(chunk.spec.team)
+            if path:
+                self._count(need, path, times(task_amounts(chunk.spec), len(chunk.pending)), 1)
+        for level in need:
+            need[level] = add(need[level], self.use.get(level, ZERO))
+        targets: dict[int, Amounts] = {}
+        tops = [level for level in need if not self.tree.levels[level].parent]
+        self._divide(tops, self.capacity, ZERO, need, targets)
+        return targets
+
+    def _divide(self, siblings: list[int], capacity: Amounts, taken: Amounts, need: dict[int, Amounts],
+                targets: dict[int, Amounts]) -> None:
+        """Divide a parent's capacity, less what others beneath it use, between the siblings that want more."""
+        room = positive(add(capacity, taken, -1))
+        wants = [(self.tree.levels[level].weight, _share(self._own(level), room), _share(need[level], room))
+                 for level in siblings]
+        for level, part, (_, _, wanted) in zip(siblings, divide(ONE, wants), wants, strict=True):
+            scaled = need[level] if part >= wanted else tuple(-(-n * part // wanted) for n in need[level])
+            targets[level] = (scaled[0], scaled[1], scaled[2], scaled[3])
+            children = [c for c in self.tree.levels[level].children if c in need]
+            if children:
+                used = self.use.get(level, ZERO)
+                for child in children:
+                    used = add(used, self.use.get(child, ZERO), -1)
+                limit = self._limit(level)
+                target = targets[level]
+                self._divide(children, (min(limit[0], target[0]), min(limit[1], target[1]), min(limit[2], target[2]),
+                                        min(limit[3], target[3])), used, need, targets)
+
+    def fair_key(self, team: str) -> tuple[float, ...]:
+        """Who comes first where one place is free: from the root on, what is borrowed least for its weight."""
+        key: list[float] = []
+        for level in reversed(self.tree.path(team)):
+            borrowed = positive(add(self.use.get(level, ZERO), self._own(level), -1))
+            key.append(_share(borrowed, self.capacity) / self.tree.levels[level].weight)
+        return tuple(key)
+
+    def _limit(self, level: int) -> Amounts:
+        return self.purses.cap(level).limit(self.state.index) if self.tree.levels[level].capped else (UNLIMITED,) * 4
+
+    def _own(self, level: int) -> Amounts:
+        """The part of a level's guarantee that this shard holds."""
+        if not self.tree.levels[level].guaranteed:
+            return ZERO
+        return self.purses.own(level).limit(self.state.index)
+
+    # Who gives way.
+
+    def rests_on(self, spec: m.JobSpec, count: int = 1) -> set[int]:
+        """The levels within whose guarantee that many tasks more would be."""
+        need = times(task_amounts(spec), count)
+        return {level for level in self.tree.path(spec.team) if self.tree.levels[level].guaranteed
+                and within(add(self._spoken_for(level), need), self._own(level))}
+
+    def _spoken_for(self, level: int) -> Amounts:
+        """What stays in use, and what others of this pass were made room for."""
+        return add(self.net(level), self.promised.get(level, ZERO))
+
+    def search(self, spec: m.JobSpec, count: int = 1, rests_on: set[int] | None = None) -> "Search":
+        return Search(self, spec, self.rests_on(spec, count) if rests_on is None else rests_on)
+
+    def lacking(self, spec: m.JobSpec, count: int) -> dict[int, Amounts]:
+        """By level, how much more the shard would have to hold, or others stop using."""
+        need = times(task_amounts(spec), count)
+        found: dict[int, Amounts] = {}
+        for level in self.tree.path(spec.team):
+            if self.tree.levels[level].capped:
+                short = positive(add(add(self._spoken_for(level), need), self._limit(level), -1))
+                if any(short):
+                    found[level] = short
+        return found
+
+    def blocked(self, chunk: Chunk, count: int, placeable: bool) -> None:
+        """A chunk waits for its quota alone: note the claim, and have borrowed work here make room."""
+        chunk.held = True
+        spec = chunk.spec
+        known = self.claims.get(spec.team)
+        waiting = times(task_amounts(spec), max(count, len(chunk.pending)))
+        if known is not None:
+            known.need = add(known.need, waiting)
+            return
+        self.claims[spec.team] = Claim(spec.team, times(task_amounts(spec), count), waiting,
+                                       (int(not placeable), spec.priority, chunk.at_us, chunk.uid), spec, count)
+        if self.open():
+            self.make_room(spec, count, len(chunk.pending) // count)
+
+    def make_room(self, spec: m.JobSpec, count: int, times_: int, rests_on: set[int] | None = None,
+                  lacking: dict[int, Amounts] | None = None) -> None:
+        """Have borrowed work stop for as many tasks as may claim it, `count` at a time.
+
+        `rests_on` and `lacking` are another shard's, where the claim is from there.
+        """
+        for _ in range(times_):
+            short = self.lacking(spec, count) if lacking is None else lacking
+            if short and not self.reclaim(spec, short, self.search(spec, count, rests_on)):
+                return
+            self._count(self.promised, self.tree.path(spec.team), times(task_amounts(spec), count), 1)
+
+    def reclaim(self, spec: m.JobSpec, lacking: dict[int, Amounts], search: "Search") -> bool:
+        """Stop what gives way until the levels have that much room; all of it or nothing is stopped."""
+        if spec.priority > 1 and not search.rests_on:
+            return False
+        if self.victims is None:
+            self.victims = sorted((a for team in self.teams.values() for a in team if a.seen), key=stopped_first)
+        left = dict(lacking)
+        chosen: list[Attempt] = []
+        for victim in self.victims:
+            if not left:
+                break
+            if victim.halting or victim.ended:
+                continue
+            path = self.tree.path(victim.spec.team)
+            if victim.counted is not None and any(level in left for level in path) and search.may(victim):
+                search.pick(victim)
+                chosen.append(victim)
+                for level in path:
+                    if level in left:
+                        left[level] = positive(add(left[level], victim.counted, -1))
+                        if not any(left[level]):
+                            del left[level]
+        if left:
+            return False
+        for victim in chosen:
+            self.stopped += 1
+            self.state.halt(victim, 0.0)
+        return True
+
+
+class Search:
+    """One search for work that gives way to a job, aware of what it has picked already."""
+
+    def __init__(self, gate: Gate, spec: m.JobSpec, rests_on: set[int]) -> None:
+        self.gate = gate
+        self.spec = spec
+        self.rests_on = rests_on
+        self.picked: dict[int, Amounts] = {}
+
+    def may(self, victim: Attempt) -> bool:
+        """Lower priority gives way to production and urgent work; otherwise only what is borrowed does.
+
+        Work is borrowed from a level if every level from its team up to where the two paths part is
+        beyond its guarantee: an uncle's guarantee is as safe as a sibling's.
+        """
+        if self.spec.priority <= 1 and victim.spec.priority > self.spec.priority:
+            return True
+        tree = self.gate.tree
+        parting = tree.parting(self.spec.team, victim.spec.team)
+        if parting is None or parting[0] not in self.rests_on:
+            return False
+        for level in tree.path(victim.spec.team):
+            used = add(self.gate.net(level), self.picked.get(level, ZERO), -1)
+            if within(used, self.gate._own(level)):
+                return False
+            if level == parting[1]:
+                return True
+        return False
+
+    def pick(self, victim: Attempt) -> None:
+        if victim.counted is not None:
+            Gate._count(self.picked, self.gate.tree.path(victim.spec.team), victim.counted, 1)
+
+
+def stopped_first(attempt: Attempt) -> tuple[int, bool, int, str]:
+    """Lowest priority first, then what saves its work, then what has run shortest."""
+    return (-attempt.spec.priority, attempt.spec.checkpoint_s == 0, -attempt.running_us, attempt.name)
+
+
+def _share(amounts: Sequence[int], of: Sequence[int]) -> int:
+    """The largest part that an amount takes of another, in parts of ONE."""
+    parts = [amounts[kind] * ONE // max(of[kind], 1) for kind in range(KINDS)
+             if of[kind] < UNLIMITED and amounts[kind] < UNLIMITED]
+    return max(parts, default=0)
--- /dev/null
+++ b/quinceslip/quota/keeper.py
@@ -0,0 +1,389 @@
+"""Keeps the grants of a controller's shards: takes from pools, asks, gives, and follows the tree.
+
+Writes happen only when something is short: what a shard holds stays with it when its work has ended, so
+the ordinary path makes no call. A starved shard first takes from the pools. What these lack it asks for
+in its want record; holders answer with one transaction, and where they use what was borrowed, have that
+stop first. The ask goes through the state service, as its answer must: where that cannot be reached
+nothing may start anyway, and links between controllers may be refused while it can.
+"""
+
+import logging
+from collections.abc import Sequence
+from typing import Any
+
+from quinceslip.coordination.context import SECOND, Context
+from quinceslip.coordination.effects import NOT_SENT, Urgency
+from quinceslip.coordination.ownership import Ownership
+from quinceslip.coordination.shard import Shard
+from quinceslip.coordination.subsystem import Maker, Subsystem
+from quinceslip.protocol import messages as m
+from quinceslip.quota import purses as keys
+from quinceslip.quota.gate import Claim, Gate
+from quinceslip.quota.grants import GrantRecord, Move, Purse
+from quinceslip.quota.purses import Purses, TreeRecord, Wanted, WantRecord
+from quinceslip.quota.show import page
+from quinceslip.quota.tree import ZERO, Amounts, Tree, add, least, positive, shown, times
+
+log = logging.getLogger(__name__)
+
+#: a shard takes from the pools no more often than this
+TAKE_US = SECOND // 10
+#: asks, answers them, and settles no more often than this
+ASK_US = SECOND // 2
+#: claims in one want record; the rest come when these are met
+MOST_CLAIMS = 8
+#: a shard that takes from a pool takes this part of an equal share more, so that a burst costs few writes
+AHEAD = 2
+
+
+class Quotas(Subsystem):
+    kinds = {keys.GRANT: GrantRecord, keys.WANT: WantRecord, keys.TREE: TreeRecord}
+    questions = ("quota",)
+
+    def __init__(self, tree: Tree, ctx: Context, ownership: Ownership, shards: dict[int, Shard]) -> None:
+        self.tree = tree
+        self.ctx = ctx
+        self.ownership = ownership
+        self.shards = shards
+        self.purses = Purses(tree, ctx.view)
+        self.gates: dict[int, Gate] = {}
+        self.next_take_us: dict[int, int] = {}
+        self.next_ask_us = 0
+        self.asked_us: dict[int, int] = {}  # shards whose want record this node knows, since when
+        self.unsettled: dict[Purse, None] = {}  # with a move whose outcome is open
+        self.guaranteed = {level.index for level in tree.levels if level.guaranteed}
+        self.writing: set[str] = set()  # keys of want and tree records on their way
+        self.said: set[str] = set()  # levels that are over their cap, as the log has them
+        self.refreshed = 0  # how far levels were looked through for amounts of an older tree
+        self.stale = False  # some such record was found
+        self.trouble = ""
+
+    # What happens.
+
+    def gained(self, shard: Shard) -> None:
+        self.gates[shard.index] = shard.quota = Gate(self.tree, self.purses, shard)
+
+    def lost(self, index: int) -> None:
+        self.gates.pop(index, None)
+
+    def changed(self, kind: str, name: str) -> None:
+        if kind == keys.GRANT:
+            self.purses.changed(name)
+            for shard in self.shards.values():
+                shard.dirty = True
+        elif kind == keys.WANT:
+            if name in self.ctx.view.by_kind[keys.WANT]:
+                self.asked_us.setdefault(int(name), self.ctx.now_us)
+                self.next_ask_us = min(self.next_ask_us, self.ctx.now_us)
+            else:
+                self.asked_us.pop(int(name), None)
+        elif kind == keys.TREE:
+            self._tree_changed()
+
+    def never_runs(self, spec: m.JobSpec) -> str | None:
+        return self.tree.never_fits(spec)
+
+    def settled(self) -> None:
+        now_us = self.ctx.now_us
+        for index, gate in self.gates.items():
+            if (gate.claims or gate.demand) and now_us >= self.next_take_us.get(index, 0) and gate.open():
+                self.next_take_us[index] = now_us + TAKE_US
+                self._take(index, gate)
+
+    def tick(self) -> None:
+        now_us = self.ctx.now_us
+        if now_us < self.next_ask_us or not self.ownership.entitled() or not self.ctx.view.loaded:
+            return
+        self.next_ask_us = now_us + ASK_US
+        self._write_tree()
+        self._settle()
+        self._refresh()
+        for index, gate in self.gates.items():
+            if gate.open():
+                self._trim(index, gate)
+                self._answer(index, gate)
+                self._ask(index, gate)
+
+    # Writing.
+
+    def _send(self, moves: list[tuple[Purse, Move]], urgency: Urgency) -> None:
+        """One transaction for several purses; each knows what came of its part."""
+        conditions = {k: stamp for _, move in moves for k, stamp in move.conditions.items()}
+        puts: dict[str, tuple[Any, int | None]] = {purse.key: (move.record, None) for purse, move in moves}
+
+        def done(status: int, failed: list[str]) -> None:
+            certain = status in (200, 409, 429, 503, 400, NOT_SENT)
+            outcome = "applied" if status == 200 else "failed" if certain else "open"
+            for purse, move in moves:
+                self.purses.changed(purse.key.split("/", 2)[2])
+                purse.answered(move, outcome)
+                if purse.move is not None and purse.move.open:
+                    self.unsettled[purse] = None
+            for shard in self.shards.values():
+                shard.dirty = True
+
+        self.ctx.txn(conditions, puts, [], done, urgency)
+
+    def _write_once(self, key: str, conditions: dict[str, int], value: Any) -> None:
+        """A record of its own: at most one write of it at a time; None drops it."""
+        if key in self.writing:
+            return
+        self.writing.add(key)
+
+        def done(status: int, failed: list[str]) -> None:
+            self.writing.discard(key)
+
+        self.ctx.txn(conditions, {} if value is None else {key: (value, None)}, [key] if value is None else [],
+                     done, Urgency.REST)
+
+    def _most(self) -> int:
+        return self.ctx.settings.facts.state.txn_ops
+
+    # Taking from the pools.
+
+    def _lacks(self, index: int, gate: Gate) -> dict[Purse, Amounts]:
+        """By purse of a cap, what the shard lacks for its claims."""
+        found: dict[int, Amounts] = {}
+        for claim in sorted(gate.claims.values(), key=lambda c: c.order):
+            for level in reversed(self.tree.path(claim.team)):
+                if self.tree.levels[level].capped:
+                    found[level] = add(found.get(level, gate.net(level)), claim.need)
+        lacks = {}
+        for level, wish in found.items():
+            purse = self.purses.cap(level)
+            lacks[purse] = positive(add(least(wish, purse.ruling()), purse.limit(index), -1))
+        return lacks
+
+    def _own_lacks(self, index: int, gate: Gate) -> dict[Purse, Amounts]:
+        """By purse of a guarantee, how much more of it the shard's running and waiting work could rest on."""
+        lacks = {}
+        for level in sorted(self.guaranteed & (gate.use.keys() | gate.demand.keys())):
+            purse = self.purses.own(level)
+            lack = positive(add(least(self._speaks_for(gate, level), purse.ruling()), purse.limit(index), -1))
+            if any(lack):
+                lacks[purse] = lack
+        return lacks
+
+    @staticmethod
+    def _speaks_for(gate: Gate, level: int) -> Amounts:
+        return add(gate.net(level), gate.demand.get(level, ZERO))
+
+    def _take(self, index: int, gate: Gate) -> None:
+        """Take what is short from the pools, and somewhat ahead, in one transaction."""
+        if self.purses.behind:
+            return  # an older tree may be wrong about what there is to take
+        moves: list[tuple[Purse, Move]] = []
+        owner = self.ownership.condition(index)
+        part = self.ctx.settings.facts.size * AHEAD
+        for purse, wish in [*self._lacks(index, gate).items(), *self._own_lacks(index, gate).items()]:
+            pool = positive(purse.pool())
+            more = [max(w, p // part) if w else 0 for w, p in zip(wish, pool, strict=True)]
+            move = purse.take(index, (more[0], more[1], more[2], more[3]), owner)
+            if move is not None:
+                moves.append((purse, move))
+            if len(moves) == self._most():
+                break
+        if moves:
+            self._send(moves, Urgency.ROSTER)  # launches wait for it
+
+    # Asking and giving.
+
+    def _ask(self, index: int, gate: Gate) -> None:
+        """Say durably what the pools lack; the record goes when nothing is wanted any more."""
+        claims = [self._wanted(index, gate, claim) for claim in sorted(gate.claims.values(), key=lambda c: c.order)]
+        wanted = [w for w in claims if w is not None][:MOST_CLAIMS]
+        own = {purse.key: list(short) for purse, lack in self._own_lacks(index, gate).items()
+               if any(short := self._beyond_pool(index, purse, lack))}
+        record = WantRecord(wanted, dict(list(own.items())[:MOST_CLAIMS])) if wanted or own else None
+        key = keys.want_key(index)
+        if self.ctx.view.by_kind[keys.WANT].get(str(index)) != record:
+            conditions = {**self.ownership.condition(index), key: self.ctx.view.stamp(key)}
+            self._write_once(key, conditions, record)
+
+    @staticmethod
+    def _beyond_pool(index: int, purse: Purse, lack: Amounts) -> Amounts:
+        """The part of a lack that only other holders can meet."""
+        pool = positive(purse.pool())
+        others = positive(add(add(purse.ruling(), pool, -1), purse.held(index), -1))
+        return least(positive(add(lack, pool, -1)), others)
+
+    def _wanted(self, index: int, gate: Gate, claim: Claim) -> Wanted | None:
+        lacks: dict[str, list[int]] = {}
+        for level in self.tree.path(claim.team):
+            if self.tree.levels[level].capped:
+                purse = self.purses.cap(level)
+                wish = positive(add(add(gate.net(level), claim.unit), purse.limit(index), -1))
+                short = self._beyond_pool(index, purse, wish)
+                if any(short):
+                    lacks[purse.key] = list(short)
+        if not lacks:
+            return None
+        names = sorted(self.tree.levels[level].name for level in gate.rests_on(claim.spec, claim.count))
+        return Wanted(claim.team, list(claim.unit), lacks, claim.order, names)
+
+    def _answer(self, index: int, gate: Gate) -> None:
+        """Give other shards what this one holds and does not use, earliest claims first."""
+        asking = {shard: record for shard, record in self.ctx.view.by_kind[keys.WANT].items() if int(shard) != index}
+        if not asking:
+            return
+        mine = min((c.order for c in gate.claims.values()), default=None)
+        owner = self.ownership.condition(index)
+        moves: list[tuple[Purse, Move]] = []
+
+        def give(shard: str, key: str, lack: Amounts, first: bool) -> tuple[int, Amounts] | None:
+            """What is still lacking of a cap, and its level."""
+            place = self.purses.place(key)
+            if place is None or len(moves) >= self._most():
+                return None
+            level, kind = place
+            if kind == keys.OWN:
+                purse, used = self.purses.own(level), self._speaks_for(gate, level)
+            else:
+                # A claim of ours that comes first keeps what it needs; of two, only one can wait.
+                purse, used = self.purses.cap(level), gate.use.get(level, ZERO)
+                used = used if first else add(used, self._claimed(gate, level))
+            move = purse.give(index, int(shard), lack, used, owner)
+            if move is not None:
+                moves.append((purse, move))
+                lack = positive(add(lack, move.outgoing[index], -1))
+            return (level, lack) if kind == keys.CAP and any(lack) else None
+
+        wants = [(wanted, shard) for shard, record in asking.items() for wanted in record.claims]
+        for wanted, shard in sorted(wants, key=lambda w: w[0].order):
+            first = mine is None or tuple(wanted.order) < mine
+            left = [give(shard, key, _four(lack), first) for key, lack in wanted.lacks.items()]
+            rest = dict(entry for entry in left if entry is not None)
+            if rest and not moves and self._our_turn(index, int(shard), rest):
+                self._make_room(gate, wanted, rest)
+        for shard, record in asking.items():
+            for key, lack in record.own.items():
+                give(shard, key, _four(lack), True)
+        if moves:
+            self._send(moves, Urgency.ROSTER)
+
+    @staticmethod
+    def _claimed(gate: Gate, level: int) -> Amounts:
+        """What the claims of a shard need beneath a level."""
+        total = ZERO
+        for claim in gate.claims.values():
+            if level in gate.tree.path(claim.team):
+                total = add(total, claim.need)
+        return total
+
+    def _our_turn(self, index: int, asker: int, rest: dict[int, Amounts]) -> bool:
+        """Holders are asked to stop work one after the other, the largest first: all at once is too much."""
+        level = next(iter(rest))
+        record = self.purses.cap(level).record
+        parts = record.parts if record is not None else {}
+        holders = sorted((int(s) for s in parts if int(s) != asker), key=lambda s: (-max(parts[str(s)]), s))
+        if index not in holders:
+            return False
+        turn = (self.ctx.now_us - self.asked_us.get(asker, self.ctx.now_us)) // (2 * ASK_US)
+        return holders[turn % len(holders)] == index
+
+    def _make_room(self, gate: Gate, wanted: Wanted, rest: dict[int, Amounts]) -> None:
+        """Borrowed work of this shard stops for the work of another one."""
+        job = self.ctx.view.job(wanted.order[3])
+        if job is None or job.spec is None:
+            return  # it is over, or not known here yet
+        rests_on = {self.tree.by_name[name].index for name in wanted.rests_on if name in self.tree.by_name}
+        going = {level: positive(add(short, gate.going.get(level, ZERO), -1)) for level, short in rest.items()}
+        short = {level: amounts for level, amounts in going.items() if any(amounts)}
+        if short:
+            gate.victims = None
+            gate.make_room(job.spec, 1, 1, rests_on, short)
+
+    # The tree, and what follows from another one.
+
+    def _tree_changed(self) -> None:
+        record: TreeRecord | None = self.ctx.view.by_kind[keys.TREE].get("")
+        purses = self.purses
+        purses.newest = max(self.tree.version, record.version) if record is not None else self.tree.version
+        other = record is not None and record.version == self.tree.version and record.digest != self.tree.digest
+        purses.behind = purses.newest > self.tree.version or other
+        trouble = (f"the tree in force has version {purses.newest}, that of the operators' file is "
+                   f"{self.tree.version}{' with other amounts: raise its version' if other else ''}; here nothing new "
+                   f"starts under levels that it has not confirmed") if purses.behind else ""
+        if trouble != self.trouble:
+            log.error("%s", trouble or "the tree of the operators' file is the one in force")
+            self.trouble = trouble
+        self.refreshed = 0
+        for shard in self.shards.values():
+            shard.dirty = True
+
+    def _write_tree(self) -> None:
+        record = self.ctx.view.by_kind[keys.TREE].get("")
+        if self.gates and (record is None or record.version < self.tree.version):
+            self._write_once(keys.TREE_KEY, {keys.TREE_KEY: self.ctx.view.stamp(keys.TREE_KEY)},
+                             TreeRecord(self.tree.version, self.tree.digest))
+
+    def _first(self) -> tuple[int, dict[str, int]] | None:
+        """The shard in whose name this node writes what belongs to none."""
+        index = min(self.gates, default=None)
+        return None if index is None else (index, self.ownership.condition(index))
+
+    def _settle(self) -> None:
+        """Moves whose outcome is open are settled by writing the record again."""
+        first = self._first()
+        for purse in list(self.unsettled)[:self._most()]:
+            if purse.move is None or not purse.move.open:
+                del self.unsettled[purse]
+            elif first is not None and (move := purse.touch(first[1])) is not None:
+                # Each on its own: what another one fails for says nothing of this one.
+                self._send([(purse, move)], Urgency.ROSTER)
+
+    def _refresh(self) -> None:
+        """Records with the amounts of an older tree get ours, a few at a time, until none is found."""
+        first, levels = self._first(), self.tree.levels
+        if first is None or self.purses.behind or self.refreshed >= len(levels):
+            return
+        moves: list[tuple[Purse, Move]] = []
+        grants = self.ctx.view.by_kind[keys.GRANT]
+        while self.refreshed < len(levels) and len(moves) + 2 <= self._most():
+            level = levels[self.refreshed]
+            for kind, get in ((keys.CAP, self.purses.cap), (keys.OWN, self.purses.own)):
+                record = grants.get(keys.grant_name(level.name, kind))
+                if record is not None and record.version < self.tree.version:
+                    self.stale = True
+                    move = get(level.index).touch(first[1])
+                    if move is not None:
+                        moves.append((get(level.index), move))
+            self.refreshed += 1
+        if self.refreshed >= len(levels) and self.stale:
+            self.refreshed, self.stale = 0, False  # some may have failed: look again
+        if moves:
+            self._send(moves, Urgency.REST)
+
+    def _trim(self, index: int, gate: Gate) -> None:
+        """Where more is held than a lowered cap, what is not used goes back; the rest drains, and is said."""
+        moves: list[tuple[Purse, Move]] = []
+        self.said &= self.purses.lowered.keys()
+        for name, level in sorted(self.purses.lowered.items()):
+            purse = self.purses.by_name[name]
+            over = positive(times(purse.pool(), -1))
+            if name not in self.said:
+                self.said.add(name)
+                log.info("%s is over its cap by %s: what runs goes on, nothing new starts",
+                         self.tree.levels[level].name, shown(over))
+            owner = self.ownership.condition(index)
+            move = purse.give(index, None, over, gate.use.get(level, ZERO), owner)
+            if move is not None:
+                moves.append((purse, move))
+            if len(moves) == self._most():
+                break
+        if moves:
+            self._send(moves, Urgency.REST)
+
+    # What operators see.
+
+    def answer(self, question: str, after: str) -> Any:
+        return page(self.tree, self.purses, self.gates, after, self.trouble)
+
+
+def _four(values: Sequence[int]) -> Amounts:
+    return (values[0], values[1], values[2], values[3])
+
+
+def attach(tree: Tree) -> Maker:
+    """What a node needs to take the quotas in."""
+    return lambda ctx, ownership, shards: Quotas(tree, ctx, ownership, shards)
--- /dev/null
+++ b/quinceslip/quota/purses.py
@@ -0,0 +1,109 @@
+"""The purses of a tree as one controller knows them, and their keys in the state service."""
+
+from urllib.parse import quote, unquote
+
+import msgspec
+
+from quinceslip.quota.grants import GrantRecord, Purse
+from quinceslip.quota.tree import Tree
+from quinceslip.storage import records
+
+GRANT, WANT, TREE = "grant", "want", "tree"
+CAP, OWN = "cap", "own"
+TREE_KEY = f"{records.PREFIX}{TREE}"
+
+
+class TreeRecord(msgspec.Struct):
+    """The newest tree that any controller was started with."""
+
+    version: int
+    digest: str
+
+
+class Wanted(msgspec.Struct):
+    """One claim that a shard cannot meet from the pools."""
+
+    team: str
+    unit: list[int]
+    #: by key of a purse, how much the shard lacks
+    lacks: dict[str, list[int]]
+    #: 0 where machines have room for it; priority; acceptance; id
+    order: tuple[int, int, int, str]
+    #: names of levels within whose guarantee it would be
+    rests_on: list[str]
+
+
+class WantRecord(msgspec.Struct, omit_defaults=True):
+    """What one shard asks the others for."""
+
+    claims: list[Wanted] = []
+    #: by key of a purse, how much of guarantees what runs and waits there lacks
+    own: dict[str, list[int]] = {}
+
+
+def grant_name(level: str, kind: str) -> str:
+    return f"{kind}/{quote(level, safe='')}"
+
+
+def want_key(shard: int) -> str:
+    return f"{records.PREFIX}{WANT}/{shard}"
+
+
+class Purses:
+    """Made as they are asked for: thousands of levels that nobody uses cost nothing."""
+
+    def __init__(self, tree: Tree, view: records.View) -> None:
+        self.tree = tree
+        self.view = view
+        self.by_name: dict[str, Purse] = {}
+        #: purses of which more is held than there is
+        self.lowered: dict[str, int] = {}
+        #: the newest version of the tree that any controller has, and whether this one's is older
+        self.newest = tree.version
+        self.behind = False
+
+    def cap(self, level: int) -> Purse:
+        return self._get(level, CAP)
+
+    def own(self, level: int) -> Purse:
+        return self._get(level, OWN)
+
+    def _get(self, level: int, kind: str) -> Purse:
+        place = self.tree.levels[level]
+        name = grant_name(place.name, kind)
+        purse = self.by_name.get(name)
+        if purse is None:
+            total = place.cap if kind == CAP else place.guarantee
+            purse = self.by_name[name] = Purse(f"{records.PREFIX}{GRANT}/{name}", total, self.tree.version,
+                                               place.parent)
+            self.changed(name)
+        return purse
+
+    def place(self, key: str) -> tuple[int, str] | None:
+        """The level and the kind that a key stands for; None where this tree has no such level."""
+        kind, _, name = key[len(f"{records.PREFIX}{GRANT}/"):].partition("/")
+        level = self.tree.by_name.get(unquote(name))
+        return (level.index, kind) if level is not None and kind in (CAP, OWN) else None
+
+    def changed(self, name: str) -> None:
+        """The record of a purse is another one in the view."""
+        purse = self.by_name.get(name)
+        if purse is None:
+            return
+        record: GrantRecord | None = self.view.by_kind[GRANT].get(name)
+        purse.seen(record, self.view.stamp(purse.key))
+        place = self.place(purse.key)
+        if place is not None and place[1] == CAP and min(purse.pool()) < 0:
+            self.lowered[name] = place[0]
+        else:
+            self.lowered.pop(name, None)
+
+    def confirmed(self, level: int) -> bool:
+        """Whether this controller knows what rules the level.
+
+        One with an older tree does where a newer one has written the level's record with the same place.
+        """
+        if not self.behind:
+            return True
+        record = self.cap(level).record
+        return record is not None and record.version >= self.newest and record.parent == self.cap(level).parent
--- /dev/null
+++ b/quinceslip/quota/show.py
@@ -0,0 +1,64 @@
+"""The tree as one controller sees it: a page of levels as JSON, and a table for a terminal."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from quinceslip.quota.gate import Gate
+from quinceslip.quota.purses import Purses
+from quinceslip.quota.tree import RESOURCES, ZERO, Amounts, Tree, add, positive, shown
+
+#: levels in one answer, so that its line stays under 64 KiB (PROTOCOL)
+PAGE = 100
+
+
+def page(tree: Tree, purses: Purses, gates: Mapping[int, Gate], after: str, trouble: str) -> dict[str, Any]:
+    """Levels in the tree's order, beginning after the one named; `more` if there are others.
+
+    `used`, `lent`, `borrowed` and `waiting` are of this controller's shards, `held` is what all shards hold.
+    `lent` is the part of a level's own guarantee that it does not use.
+    """
+    start = tree.by_name[after].index + 1 if after in tree.by_name else 0
+    levels = tree.levels[start: start + PAGE]
+    waiting: dict[int, Amounts] = {}
+    for gate in gates.values():
+        for claim in gate.claims.values():
+            for level in tree.path(claim.team):
+                waiting[level] = add(waiting.get(level, ZERO), claim.need)
+    found = []
+    for place in levels:
+        used, own = ZERO, ZERO
+        for index, gate in gates.items():
+            used = add(used, gate.use.get(place.index, ZERO))
+            if place.guaranteed:
+                own = add(own, purses.own(place.index).held(index))
+        lent = positive(add(own, used, -1))
+        borrowed = positive(add(used, own, -1)) if any(used) else ZERO
+        entry: dict[str, Any] = {
+            "level": place.name, "parent": place.parent, "depth": len(place.path) - 1, "team": place.team,
+            "weight": place.weight, "guaranteed": shown(place.guarantee), "cap": shown(place.cap),
+            "used": shown(used), "lent": shown(lent), "borrowed": shown(borrowed),
+            "waiting": shown(waiting.get(place.index, ZERO))}
+        if place.capped:
+            purse = purses.cap(place.index)
+            entry["held"] = {shard: shown(part) for shard, part in
+                             (purse.record.parts.items() if purse.record is not None else ())}
+            entry["over"] = min(purse.pool()) < 0
+        found.append(entry)
+    return {"version": tree.version, "in_force": purses.newest, "trouble": trouble, "shards": sorted(gates),
+            "levels": found, "more": start + len(levels) < len(tree.levels)}
+
+
+def table(levels: Iterable[dict[str, Any]]) -> list[str]:
+    """One line a level; amounts as cpus/gpus/memory_gb/tasks, without what is nought or unlimited."""
+    columns = ("guaranteed", "cap", "used", "lent", "borrowed", "waiting")
+    rows = [["level", *columns]]
+    for level in levels:
+        name = "  " * level["depth"] + level["level"] + (" (over)" if level.get("over") else "")
+        rows.append([name, *(_short(level[column]) for column in columns)])
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip() for row in rows]
+
+
+def _short(amounts: Mapping[str, float]) -> str:
+    units = dict(zip(RESOURCES, ("cpu", "gpu", "GB", "tasks"), strict=True))
+    return " ".join(f"{value:g} {units[name]}" for name, value in amounts.items() if value) or "-"
--- /dev/null
+++ b/quinceslip/quota/tree.py
@@ -0,0 +1,151 @@
+"""The tree of levels and its arithmetic. No I/O, no clock.
+
+Amounts are whole thousandths of CPUs, GPUs and GB, and whole tasks, so that sums over thousands of tasks
+are exact: floats would let a level exceed its cap by what they round.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from math import ceil
+
+from quinceslip.protocol import messages as m
+
+RESOURCES = ("cpus", "gpus", "memory_gb", "tasks")
+#: how many units of an amount make one of what operators write
+SCALE = (1000, 1000, 1000, 1)
+KINDS = len(RESOURCES)
+#: no cap, or a resource that a guarantee does not speak of
+UNLIMITED = 1 << 60
+#: CPUs, GPUs, memory, tasks
+Amounts = tuple[int, int, int, int]
+ZERO: Amounts = (0, 0, 0, 0)
+#: rounding of decimal input: 0.1 + 0.2 is still 0.3
+ROUNDING = 1e-6
+
+
+def task_amounts(spec: m.JobSpec) -> Amounts:
+    """What one task of a job takes; rounded up, so that what is counted is never less than what is used."""
+    return (ceil(spec.cpus * 1000 - ROUNDING), ceil(spec.gpus * 1000 - ROUNDING),
+            ceil(spec.memory_gb * 1000 - ROUNDING), 1)
+
+
+def add(a: Sequence[int], b: Sequence[int], times: int = 1) -> Amounts:
+    return (a[0] + b[0] * times, a[1] + b[1] * times, a[2] + b[2] * times, a[3] + b[3] * times)
+
+
+def times(a: Sequence[int], count: int) -> Amounts:
+    return (a[0] * count, a[1] * count, a[2] * count, a[3] * count)
+
+
+def least(a: Sequence[int], b: Sequence[int]) -> Amounts:
+    return (min(a[0], b[0]), min(a[1], b[1]), min(a[2], b[2]), min(a[3], b[3]))
+
+
+def positive(a: Sequence[int]) -> Amounts:
+    return (max(a[0], 0), max(a[1], 0), max(a[2], 0), max(a[3], 0))
+
+
+def within(a: Sequence[int], b: Sequence[int]) -> bool:
+    """Whether `a` fits into `b` in every resource."""
+    return a[0] <= b[0] and a[1] <= b[1] and a[2] <= b[2] and a[3] <= b[3]
+
+
+def shown(amounts: Sequence[int]) -> dict[str, float]:
+    """An amount as operators write it; what is unlimited is left out."""
+    return {name: value / scale for name, value, scale in zip(RESOURCES, amounts, SCALE, strict=True)
+            if value < UNLIMITED}
+
+
+@dataclass(slots=True, eq=False)
+class Level:
+    """One place in the tree; a leaf is a team of the platform's settings."""
+
+    name: str
+    parent: str = ""
+    weight: float = 1.0
+    cap: Amounts = (UNLIMITED,) * 4
+    #: what this level need not wait for others to get; all zero: nothing
+    guarantee: Amounts = ZERO
+    team: bool = False
+    index: int = -1
+    #: from this level to the root, as indices
+    path: tuple[int, ...] = ()
+    children: list[int] = field(default_factory=list)
+
+    @property
+    def capped(self) -> bool:
+        return min(self.cap) < UNLIMITED
+
+    @property
+    def guaranteed(self) -> bool:
+        return any(0 < a < UNLIMITED for a in self.guarantee)
+
+
+class Tree:
+    """Checked levels, parents before children. The caller has made sure that it is a forest."""
+
+    def __init__(self, levels: Iterable[Level], version: int = 0) -> None:
+        self.version = version
+        self.levels: list[Level] = []
+        self.by_name: dict[str, Level] = {}
+        rest = {level.name: level for level in levels}
+        beneath: dict[str, list[Level]] = {}
+        for level in rest.values():
+            beneath.setdefault(level.parent, []).append(level)
+        ready = beneath.get("", [])
+        while ready:
+            level = ready.pop(0)
+            level.index = len(self.levels)
+            self.levels.append(level)
+            self.by_name[level.name] = level
+            parent = self.by_name.get(level.parent)
+            level.path = (level.index, *(parent.path if parent else ()))
+            if parent is not None:
+                parent.children.append(level.index)
+            ready += beneath.get(level.name, [])
+        self._derive()
+        self.leaves: dict[str, Level] = {level.name: level for level in self.levels if level.team}
+        self.digest = hashlib.sha256("\n".join(sorted(
+            f"{v.name} {v.parent} {v.weight} {v.cap} {v.guarantee}" for v in self.levels)).encode()).hexdigest()[:16]
+
+    def _derive(self) -> None:
+        """A level that states no guarantee has what its children have together."""
+        for level in reversed(self.levels):
+            if not any(level.guarantee) and level.children:
+                total = ZERO
+                for child in level.children:
+                    given = self.levels[child]
+                    if given.guaranteed:
+                        total = add(total, given.guarantee)
+                level.guarantee = least(total, (UNLIMITED,) * 4)
+
+    def path(self, team: str) -> tuple[int, ...]:
+        """The levels above a team and its own, leaf first; empty for a team that is not in the tree."""
+        leaf = self.leaves.get(team)
+        return leaf.path if leaf is not None else ()
+
+    def parting(self, one: str, other: str) -> tuple[int, int] | None:
+        """Where the paths of two teams part: the level on either side, siblings of each other."""
+        mine, theirs = self.path(one), self.path(other)
+        if not mine or not theirs or one == other:
+            return None
+        place = 1
+        while place <= min(len(mine), len(theirs)) and mine[-place] == theirs[-place]:
+            place += 1
+        return mine[-place], theirs[-place]
+
+    def never_fits(self, spec: m.JobSpec) -> str | None:
+        """The level under which a job can never run, and the amount; None if it may.
+
+        An array needs room for one task, a service or gang for all of them (PROTOCOL, 422).
+        """
+        count = spec.tasks if spec.service or spec.gang else 1
+        need = times(task_amounts(spec), count)
+        for index in self.path(spec.team):
+            level = self.levels[index]
+            for kind in range(KINDS):
+                if need[kind] > level.cap[kind]:
+                    has, asked = level.cap[kind] / SCALE[kind], need[kind] / SCALE[kind]
+                    return f"over the limit of {level.name}: {RESOURCES[kind]} {asked:g}, at most {has:g}"
+        return None
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -2,10 +2,12 @@
 
 import logging
 import threading
+from collections.abc import Sequence
 
 from quinceslip.coordination.context import SECOND, Timing
 from quinceslip.coordination.effects import Call, Effect, PeerSaid, Reply
 from quinceslip.coordination.node import Node
+from quinceslip.coordination.subsystem import Maker
 from quinceslip.protocol.settings import Settings, Tuning, split_address
 from quinceslip.storage.watch import Watch
 from quinceslip.transport.actor import ActorThread
@@ -28,11 +30,11 @@
 
 
 class Service:
-    def __init__(self, settings: Settings, tuning: Tuning) -> None:
+    def __init__(self, settings: Settings, tuning: Tuning, makers: Sequence[Maker] = ()) -> None:
         threading.stack_size(STACK_BYTES)
         facts = settings.facts
         self.settings = settings
-        node = Node(settings, tuning, steady_us(), wall_us())
+        node = Node(settings, tuning, steady_us(), wall_us(), makers)
         self.actor = ActorThread(node.handle, self._carry_out, BEAT_US, inbox=1000)
         post = self.actor.post_sure
         budget = Budget(facts.state.rps, facts.state.write_rps, facts.size)
@@ -48,7 +50,8 @@
         # Every worker of the site may report here while the other controllers are down.
         most = max(64, int(min(facts.limits.max_sockets * API_SOCKETS,
                                (facts.limits.memory_mb - BASE_MB) / CONNECTION_MB)))
-        self.api = ApiServer(split_address(settings.api_addr), self.replies, most)
+        questions = [f"/{question}" for subsystem in node.subsystems for question in subsystem.questions]
+        self.api = ApiServer(split_address(settings.api_addr), self.replies, most, questions)
         self.peers = PeerServer(split_address(settings.peer_bind), 4 * facts.size,
                                 lambda beat: void(self.actor.post(PeerSaid(beat))))
         timing = Timing(settings)
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -11,6 +11,7 @@
   types                the machine types, for nodes that start while the cloud is away
 """
 
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -116,6 +117,7 @@
     """All records as this node knows them, with the stamp of each."""
 
     def __init__(self) -> None:
+        self.kinds: dict[str, Any] = dict(KINDS)
         self.loaded = False
         self.ledger = 0
         self.stamps: dict[str, int] = {}
@@ -123,6 +125,12 @@
         self.dropped: dict[str, int] = {}
         self.open: dict[str, JobRecord] = {}  # jobs that are not over
 
+    def know(self, kinds: Mapping[str, Any]) -> None:
+        """Keep a subsystem's kinds of records as well."""
+        self.kinds.update(kinds)
+        for kind in kinds:
+            self.by_kind.setdefault(kind, {})
+
     def reset(self, items: list[Item], ledger: int) -> list[str]:
         """Take a full listing; returns every key that changed."""
         fresh = {item.key for item in items}
@@ -151,10 +159,9 @@
                 self.dropped.clear()
         return changed
 
-    @staticmethod
-    def _decode(key: str, raw: msgspec.Raw) -> Any:
+    def _decode(self, key: str, raw: msgspec.Raw) -> Any:
         kind = key.split("/")[1]
-        return msgspec.json.decode(raw, type=KINDS.get(kind, msgspec.Raw))
+        return msgspec.json.decode(raw, type=self.kinds.get(kind, msgspec.Raw))
 
     def put(self, key: str, value: Any, stamp: int) -> bool:
         # Own writes are applied when their answer comes, so the watch may bring them again,
--- /dev/null
+++ b/quinceslip/subsystems.py
@@ -0,0 +1,21 @@
+"""Which subsystems a controller takes in, by its settings. What is off is not imported."""
+
+import configparser
+
+from quinceslip.coordination.subsystem import Maker
+from quinceslip.protocol.settings import Settings
+
+
+def makers(settings: Settings, operators: configparser.ConfigParser, source: str = "") -> list[Maker]:
+    """The subsystems that are switched on; raises SettingsError for what cannot be used."""
+    found: list[Maker] = []
+    teams = settings.facts.teams
+    if any(s.split(" ")[0] == "quota" for s in operators.sections()) or any(
+            t.cpus or t.cpus_max or t.gpus or t.gpus_max for t in teams):
+        from quinceslip.quota.config import load_tree
+        from quinceslip.quota.keeper import attach
+
+        tree = load_tree(operators, teams, source)
+        if tree is not None:
+            found.append(attach(tree))
+    return found
--- a/quinceslip/transport/http_server.py
+++ b/quinceslip/transport/http_server.py
@@ -8,13 +8,14 @@
 import logging
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 
-from quinceslip.coordination.effects import Reply, Reported, UserRequest
+from quinceslip.coordination.effects import Asked, Reply, Reported, UserRequest
 from quinceslip.protocol import messages as m
 from quinceslip.transport.clock import steady_us
 
@@ -131,6 +132,10 @@
                 self._send(404, {"error": "no such path"})
             elif self._allow("GET"):
                 self._ask(lambda n: UserRequest(n, "poll", uid), ANSWER_S)
+        elif path in self.server.questions:
+            if self._allow("GET"):
+                after = parse_qs(self.path.partition("?")[2]).get("after", [""])[0]
+                self._ask(lambda n: Asked(n, path[1:], after), ANSWER_S)
         else:
             self._send(404, {"error": "no such path"})
 
@@ -178,8 +183,9 @@
     request_queue_size = 128
     allow_reuse_address = True
 
-    def __init__(self, address: tuple[str, int], replies: Replies, most: int) -> None:
+    def __init__(self, address: tuple[str, int], replies: Replies, most: int, questions: Sequence[str] = ()) -> None:
         self.replies = replies
+        self.questions = questions  # paths that subsystems answer
         self.most = most
         self._lock = threading.Lock()
         self._open: dict[socket.socket, list[int]] = {}  # last active, 1 if a worker's
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -18,6 +18,9 @@
         self.cancel_asked: set[str] = set()
         self.cancelled_us: dict[str, int] = {}
         self.notes: list[str] = []
+        self.used: dict[str, dict[str, float]] = {}
+        self.history: dict[str, list[tuple[int, float]]] = defaultdict(list)  # CPUs of a level at each start
+        self.most_used: dict[str, float] = defaultdict(float)  # by capped level, in any of its resources
         self.answers: dict[str, list[int]] = defaultdict(list)
 
     def note(self, text: str) -> None:
@@ -64,12 +67,42 @@
             self.breach("ran_cancelled", f"{task} {what}")
 
     def _quota(self) -> None:
+        """Every level, summed anew from what is on machines: no level is ever over its cap."""
+        spec_of = self.world.jobs
+        kinds = {"cpus": "vcpus", "gpus": "gpus", "memory_gb": "memGb"}
+        caps: dict[str, dict[str, float]] = defaultdict(dict)
+        above: dict[str, str] = {}
         for team in self.world.facts.get("teams", []):
-            used = sum(self.world.jobs[t.rpartition("/")[0]]["vcpus"] * len(places)
-                       for t, places in self.where.items()
-                       if self.world.jobs[t.rpartition("/")[0]]["crew"] == team["name"])
-            if team.get("cpus_max") and used > team["cpus_max"] + 1e-6:
-                self.breach("quota", f"{team['name']} uses {used}")
+            caps[team["name"]] = {kind: team[kind + "_max"] for kind in kinds if team.get(kind + "_max")}
+        for section, given in self.world.operators.items():
+            name = section.partition(" ")[2]
+            above[name] = above.get(name) or given.get("parent", "")
+            above.update({t.strip(): name for t in given.get("teams", "").split(",") if t.strip()})
+            for kind in [*kinds, "tasks"]:
+                if name and kind + "_max" in given:
+                    caps[name][kind] = min(float(given[kind + "_max"]), caps[name].get(kind, 1e18))
+        used: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
+        for task, places in self.where.items():
+            spec = spec_of[task.rpartition("/")[0]]
+            level = spec["crew"]
+            while places and level:
+                for kind in kinds:
+                    used[level][kind] += spec[kinds[kind]] * len(places)
+                used[level]["tasks"] += len(places)
+                level = above.get(level, "")
+        for level in caps:
+            self.history[level].append((self.world.now_us, used[level]["cpus"]))
+        self.used = used
+        for level, most in caps.items():
+            for kind, cap in most.items():
+                self.most_used[level] = max(self.most_used[level], used[level][kind])
+                if used[level][kind] > cap + 1e-6:
+                    self.breach("quota", f"{level} uses {used[level][kind]} {kind} of {cap}")
+
+    def used_now(self, level: str) -> float:
+        """CPUs beneath a level."""
+        self._quota()
+        return self.used[level]["cpus"]
 
     # What users are told.
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -69,6 +69,8 @@
         self.expect_broken: str | None = None
         self.counted: dict[str, int] = {}
         self.full = False
+        self.operators: dict[str, dict[str, str]] = {}
+        self.reasons: dict[str, Any] = {}
 
     def line(self, text: str) -> None:
         words = shlex.split(text, comments=True)
@@ -98,6 +100,30 @@
     def do_team(self, plain: list[str], named: dict[str, Any]) -> None:
         self.facts["teams"].append({"name": plain[0], **named})
 
+    def do_tree(self, plain: list[str], named: dict[str, Any]) -> None:
+        """tree version=N: quotas are on; `level` lines say what it has"""
+        self.operators["quota"] = {k: str(v) for k, v in named.items()}
+
+    def do_level(self, plain: list[str], named: dict[str, Any]) -> None:
+        """level NAME parent=P cpus_max=N ...: a section of the operators' file; teams it names exist"""
+        self.operators[f"quota {plain[0]}"] = {k: str(v) for k, v in named.items()}
+        for team in str(named.get("teams", "")).split(","):
+            if team and team not in [t["name"] for t in self.facts["teams"]]:
+                self.facts["teams"].append({"name": team})
+
+    def do_levels_many(self, plain: list[str], named: dict[str, Any]) -> None:
+        """levels_many PARENT COUNT ...: a level for each of so many teams, t-1, t-2, ..."""
+        for number in range(1, int(plain[1]) + 1):
+            self.facts["teams"].append({"name": f"t-{number}"})
+            self.operators[f"quota t-{number}"] = {"parent": plain[0], **{k: str(v) for k, v in named.items()}}
+
+    def on_tree(self, args: list[str], named: dict[str, Any]) -> None:
+        """tree NAME version=N LEVEL.KEY=VALUE ...: a controller's own file, read at its next start"""
+        operators = self.w().hosts[args[0]].operators
+        for key, given in named.items():
+            level, _, name = key.rpartition(".")
+            operators.read_dict({f"quota {level}" if level else "quota": {name: str(given)}})
+
     def do_type(self, plain: list[str], named: dict[str, Any]) -> None:
         made = {"label": plain[0], "vcpus": 16.0, "gpus": 0.0, "memGb": 64.0, "cacheGb": 50.0, "pullGbPerS": 1.0,
                 "price": 1.0, "lowPrice": 0.4, "startupS": 5.0, "yards": self.facts["zones"]}
@@ -127,7 +153,7 @@
         if self.world is None:
             self.world = World(self.facts, self.types or [{
                 "label": "m", "vcpus": 16.0, "gpus": 0.0, "memGb": 64.0, "cacheGb": 50.0, "pullGbPerS": 1.0,
-                "price": 1.0, "lowPrice": 0.4, "startupS": 5.0, "yards": self.facts["zones"]}], self.seed)
+                "price": 1.0, "lowPrice": 0.4, "startupS": 5.0, "yards": self.facts["zones"]}], self.seed, self.operators)
             if self.full:
                 self.world.cloud.capacity = 0
             for count, kind, zone, spot in self.initial:
@@ -178,6 +204,7 @@
                 poll()
             elif status in (400, 422):
                 settled[0] = True
+                self.reasons[uid] = body
 
         def attempt() -> None:
             if not settled[0] and world.now_us < until_us:
@@ -195,6 +222,11 @@
         for number in range(int(args[0]), int(args[0]) + int(args[1])):
             self.on_submit([f"req-{number:06d}", *args[2:]], dict(named))
 
+    def on_submit_teams(self, args: list[str], named: dict[str, Any]) -> None:
+        """submit_teams FIRST COUNT ...: a job of each of the teams t-1, t-2, ..."""
+        for number in range(int(args[1])):
+            self.on_submit([f"req-{int(args[0]) + number:06d}", *args[2:]], {**named, "team": f"t-{number + 1}"})
+
     def on_cancel_many(self, args: list[str], named: dict[str, Any]) -> None:
         for number in range(int(args[0]), int(args[0]) + int(args[1]), int(named.get("step", 1))):
             self.on_cancel([f"req-{number:06d}"], {})
@@ -203,7 +235,8 @@
         """count: what is counted from here on"""
         world = self.w()
         self.counted = {"puts": world.state.puts, "reports": world.reports, "looked": self._looked(),
-                        "asked": world.cloud.asked, "second": world.now_us // US}
+                        "asked": world.cloud.asked, "second": world.now_us // US,
+                        "grants": world.state.grants}
 
     def on_poll(self, args: list[str], named: dict[str, Any]) -> None:
         def heard(status: int, body: Any) -> None:
@@ -328,6 +361,45 @@
 
     # Judgement.
 
+    def check_most_used(self, args: list[str], named: dict[str, Any]) -> None:
+        """most_used LEVEL OP N: at any instant so far"""
+        used = self.w().checker.most_used[args[0]]
+        assert COMPARE[args[1]](used, float(args[2])), f"{args[0]} used {used}"
+
+    def check_grant_writes(self, args: list[str], named: dict[str, Any]) -> None:
+        """grant_writes OP N: changes of quotas' records since `count`"""
+        writes = self.w().state.grants - self.counted.get("grants", 0)
+        assert COMPARE[args[0]](writes, float(args[1])), f"{writes} writes for quotas"
+
+    def check_grant_writes_per_job(self, args: list[str], named: dict[str, Any]) -> None:
+        self.check_grant_writes([args[0], str(float(args[1]) * len(self.w().jobs))], named)
+
+    def check_grant_writes_per_s(self, args: list[str], named: dict[str, Any]) -> None:
+        """in any ten seconds in a row, on average"""
+        seconds = self.w().state.grants_in
+        most = max(sum(seconds.get(t + i, 0) for i in range(10)) / 10 for t in range(self.w().now_us // US))
+        assert COMPARE[args[0]](most, float(args[1])), f"{most} writes a second for quotas"
+
+    def check_level_at_most(self, args: list[str], named: dict[str, Any]) -> None:
+        """level_at_most LEVEL N: CPUs in use beneath it now"""
+        assert self.w().checker.used_now(args[0]) <= float(args[1]), self.w().checker.used_now(args[0])
+
+    def check_since_at_most(self, args: list[str], named: dict[str, Any]) -> None:
+        """since_at_most LEVEL T N: CPUs in use beneath it at every start after T"""
+        later = [used for at_us, used in self.w().checker.history[args[0]] if at_us >= float(args[1]) * US]
+        assert later and max(later) <= float(args[2]), max(later)
+
+    def check_refused_for(self, args: list[str], named: dict[str, Any]) -> None:
+        """refused_for UID LEVEL RESOURCE: the 422 names them"""
+        text = str(self.reasons[args[0]])
+        assert all(word in text for word in args[1:]), text
+
+    def check_running_team(self, args: list[str], named: dict[str, Any]) -> None:
+        """running_team TEAM OP N"""
+        there = [t for t, p in self.w().checker.where.items()
+                 if p and self.w().jobs[t.rpartition("/")[0]]["crew"] == args[0]]
+        assert COMPARE[args[1]](len(there), int(args[2])), f"{len(there)} tasks of {args[0]}"
+
     def _looked(self) -> int:
         """Workers that placement has looked at, by all controllers."""
         return sum(s.placement.looked for h in self.w().hosts.values() if h.node for s in h.node.shards.values())
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,6 +4,7 @@
 the real actors. The checker sees what truly happens on the machines and what users are told.
 """
 
+import configparser
 import heapq
 import json
 import random
@@ -18,14 +19,17 @@
 from quinceslip.protocol import frames
 from quinceslip.protocol import messages as m
 from quinceslip.protocol.settings import Settings, Tuning
+from quinceslip.subsystems import makers
 from tests.checker import Checker
 
 US = SECOND
 
 
 class World:
-    def __init__(self, facts: dict[str, Any], types: list[dict[str, Any]], seed: int = 1) -> None:
+    def __init__(self, facts: dict[str, Any], types: list[dict[str, Any]], seed: int = 1,
+                 operators: dict[str, dict[str, str]] | None = None) -> None:
         self.now_us = 0
+        self.operators = operators or {}  # sections of the operators' INI file
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
         self.order = 0
         self.random = random.Random(seed)
@@ -71,6 +75,8 @@
         self.late: dict[str, tuple[int, int]] = {}  # controller -> (until, delay)
         self.puts = 0  # on job records and their parts
         self.second: dict[int, int] = {}  # the same in each second
+        self.grants = 0  # changes of quotas' records
+        self.grants_in: dict[int, int] = {}  # the same in each second
         world.after(20_000, self._expire)
 
     def outage(self, length_us: int) -> None:
@@ -127,7 +133,11 @@
         assert len(ops) <= self.world.facts["state"]["txn_ops"], "too many changes"
         if ops:
             self.ledger += 1
-        count = sum((op.get("write") or op["drop"]).split("/")[1] in ("job", "part") for op in ops)
+        kinds = [(op.get("write") or op["drop"]).split("/")[1] for op in ops]
+        grants = sum(kind in ("grant", "want", "tree") for kind in kinds)
+        self.grants += grants
+        self.grants_in[self.world.now_us // US] = self.grants_in.get(self.world.now_us // US, 0) + grants
+        count = sum(kind in ("job", "part") for kind in kinds)
         self.puts += count
         now_s = self.world.now_us // US
         self.second[now_s] = self.second.get(now_s, 0) + count
@@ -413,6 +423,8 @@
         self.next_request = 0
         self.errors: list[str] = []
         self.deaf_peers_until_us = 0
+        self.operators = configparser.ConfigParser(interpolation=None)  # its own copy of the operators' file
+        self.operators.read_dict(world.operators)
         world.after(10_000, self.start)
 
     def start(self) -> None:
@@ -426,7 +438,7 @@
              "facts": self.world.facts}, Settings)
         self.life += 1
         self.waiting.clear()
-        self.node = Node(settings, Tuning(), self.world.now_us, self.world.now_us)
+        self.node = Node(settings, Tuning(), self.world.now_us, self.world.now_us, makers(settings, self.operators))
         self._beat(self.life)
         self._list(self.life)
 
