--- a/quinceslip/coordination/balancing.py
+++ b/quinceslip/coordination/balancing.py
@@ -156,7 +156,7 @@
         order = self.ctx.settings.facts.zones
         for chunk in shard.ordered():
             spec = chunk.spec
-            if not spec.service or not chunk.pending or \
+            if not spec.service or not chunk.pending or chunk.held or \
                     self.ctx.now_us < shard.moved_us.get(chunk.uid, 0) + MOVE_AGAIN_US:
                 continue
             whole = bool(shard.recorder.movable(chunk))
@@ -198,7 +198,9 @@
         for shard in self.shards.values():
             moves = 0
             for chunk in shard.ordered():
-                indices = shard.recorder.movable(chunk)
+                # What only its quota holds up waits where it is: what the other shard lacks as well would
+                # go to and fro, and grants come to where work waits.
+                indices = [] if chunk.held else shard.recorder.movable(chunk)
                 if not indices:
                     continue
                 targets = [s for s in room if s != shard.index and room[s] > 0 and self.ownership.owner(s)]
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -347,12 +347,14 @@
                     coming.append((hire.record.zone, hire.record.spot, kind,
                                    [kind.cpus, kind.gpus, kind.memory_gb]))
         lacking: dict[tuple[str, bool, bool], tuple[Chunk, float, int]] = {}
+        spoken_for: dict[int, tuple[int, int, int, int]] = {}
         for chunk in shard.ordered():
             # Tasks that pause after a failure need no machine: a mistaken job would rent many.
-            waiting = chunk.ready()
+            waiting, spec = chunk.ready(), chunk.spec
+            if shard.quota is not None:
+                waiting = shard.quota.startable(spec, waiting, spoken_for)
             if waiting <= 0:
                 continue
-            spec = chunk.spec
             zones = shard.placement.zones_for(chunk)
             if zones is not None and not zones:
                 continue
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -150,14 +150,19 @@
         """Whether the last refusal was only for the sake of others in this round, with another to come."""
         return self.last_held_back
 
-    def startable(self, spec: m.JobSpec) -> int:
-        """How many tasks machines may be rented for: what the shard holds or can take from the pools."""
-        need, most = task_amounts(spec), spec.tasks
-        for level in self.tree.path(spec.team):
+    def startable(self, spec: m.JobSpec, most: int, spoken_for: dict[int, Amounts]) -> int:
+        """How many of so many tasks machines may be rented for: what the shard holds or can take from pools.
+
+        `spoken_for` adds up, by level, what was answered before in the same plan.
+        """
+        need, path = task_amounts(spec), self.tree.path(spec.team)
+        for level in path:
             if self.tree.levels[level].capped:
                 purse = self.purses.cap(level)
                 room = add(add(purse.limit(self.state.index), positive(purse.pool())), self.net(level), -1)
+                room = add(room, spoken_for.get(level, ZERO), -1)
                 most = min([most, *(max(0, r) // n for r, n in zip(room, need, strict=True) if n)])
+        self._count(spoken_for, path, times(need, most), 1)
         return most
 
     # The order of a pass.
--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -32,7 +32,7 @@
 ASK_US = SECOND // 2
 #: claims in one want record; the rest come when these are met
 MOST_CLAIMS = 8
-#: a shard that takes from a pool takes this part of an equal share more, so that a burst costs few writes
+#: what is taken or given at once beyond what is asked: this part of an equal share, or of what is idle
 AHEAD = 2
 
 
@@ -155,9 +155,14 @@
         return lacks
 
     def _own_lacks(self, index: int, gate: Gate) -> dict[Purse, Amounts]:
-        """By purse of a guarantee, how much more of it the shard's running and waiting work could rest on."""
+        """By purse of a guarantee, how much more of it the shard's running and waiting work could rest on.
+
+        Where nobody else has work there and nothing is short, no guarantee is needed and none is moved.
+        """
         lacks = {}
         for level in sorted(self.guaranteed & (gate.use.keys() | gate.demand.keys())):
+            if not gate.claims and all(level in self.tree.path(team) for team in gate.teams):
+                continue
             purse = self.purses.own(level)
             lack = positive(add(least(self._speaks_for(gate, level), purse.ruling()), purse.limit(index), -1))
             if any(lack):
@@ -212,7 +217,7 @@
         for level in self.tree.path(claim.team):
             if self.tree.levels[level].capped:
                 purse = self.purses.cap(level)
-                wish = positive(add(add(gate.net(level), claim.unit), purse.limit(index), -1))
+                wish = positive(add(add(gate.net(level), claim.need), purse.limit(index), -1))
                 short = self._beyond_pool(index, purse, wish)
                 if any(short):
                     lacks[purse.key] = list(short)
@@ -242,7 +247,10 @@
                 # A claim of ours that comes first keeps what it needs; of two, only one can wait.
                 purse, used = self.purses.cap(level), gate.use.get(level, ZERO)
                 used = used if first else add(used, self._claimed(gate, level))
-            move = purse.give(index, int(shard), lack, used, owner)
+            # More than is asked for, where more is idle: so a burst costs few asks.
+            spare = add(purse.held(index), used, -1)
+            more = [max(asked, idle // AHEAD) if asked else 0 for asked, idle in zip(lack, spare, strict=True)]
+            move = purse.give(index, int(shard), _four(more), used, owner)
             if move is not None:
                 moves.append((purse, move))
                 lack = positive(add(lack, move.outgoing[index], -1))
@@ -252,7 +260,7 @@
         for wanted, shard in sorted(wants, key=lambda w: w[0].order):
             first = mine is None or tuple(wanted.order) < mine
             left = [give(shard, key, _four(lack), first) for key, lack in wanted.lacks.items()]
-            rest = dict(entry for entry in left if entry is not None)
+            rest = {level: least(lack, wanted.unit) for level, lack in (e for e in left if e is not None)}
             if rest and not moves and self._our_turn(index, int(shard), rest):
                 self._make_room(gate, wanted, rest)
         for shard, record in asking.items():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -151,9 +151,9 @@
 
     def do_run(self, plain: list[str], named: dict[str, Any]) -> None:
         if self.world is None:
-            self.world = World(self.facts, self.types or [{
-                "label": "m", "vcpus": 16.0, "gpus": 0.0, "memGb": 64.0, "cacheGb": 50.0, "pullGbPerS": 1.0,
-                "price": 1.0, "lowPrice": 0.4, "startupS": 5.0, "yards": self.facts["zones"]}], self.seed, self.operators)
+            if not self.types:
+                self.do_type(["m"], {})
+            self.world = World(self.facts, self.types, self.seed, self.operators)
             if self.full:
                 self.world.cloud.capacity = 0
             for count, kind, zone, spot in self.initial:
@@ -270,6 +270,9 @@
             if "back" in named:
                 self.w().after(named["back"] * US, host.start)
 
+    def on_start(self, args: list[str], named: dict[str, Any]) -> None:
+        self.w().hosts[args[0]].start()
+
     def on_outage(self, args: list[str], named: dict[str, Any]) -> None:
         """outage state|cloud S"""
         if args[0] == "state":
