Model of the grant protocol: explored with the service's own code, each guard left out is found

Change: `quinceslip model quota` explores every interleaving of two or three shards to a depth, running `Purse` and `may_start` themselves; `--without GUARD` leaves one guard out.

The first list named `entitled` as a guard: workers that obey no lower term make it needless for caps, so it is not one of them.

--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -33,9 +33,28 @@
                              help="settings that the platform hands over (TOML)")
         command.set_defaults(act=run if name == "run" else check)
     _quota_commands(commands)
+    model = commands.add_parser("model", help="explore a protocol's states exhaustively, with the service's own code")
+    models = model.add_subparsers(dest="part", required=True, metavar="PROTOCOL")
+    grants = models.add_parser("quota", help="the grants of quotas between shards")
+    for name, default, text in (("depth", 8, "steps from the start"), ("shards", 2, "shards that hold of one purse"),
+                                ("controllers", 2, "controllers; the first own a shard each"),
+                                ("total", 1, "tasks that the purse has room for"),
+                                ("most-states", 0, "end after so many states (0: never)")):
+        grants.add_argument(f"--{name}", type=int, default=default, help=f"{text} ({default})")
+    grants.add_argument("--without", default="", metavar="GUARD", help="leave one guard out: a breach must be found")
+    grants.add_argument("--only", default="", metavar="STEP,...", help="only these kinds of steps, to reach deeper")
+    grants.set_defaults(act=model_quota)
     return made
 
 
+def model_quota(arguments: argparse.Namespace) -> int:
+    from quinceslip.quota.commands import run_model
+
+    good, lines = run_model(arguments)
+    print("\n".join(lines))
+    return 0 if good else 1
+
+
 def _quota_commands(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
     quota = commands.add_parser("quota", help="check a tree of quotas, or show it as a controller sees it")
     parts = quota.add_subparsers(dest="part", required=True, metavar="COMMAND")
--- a/quinceslip/quota/commands.py
+++ b/quinceslip/quota/commands.py
@@ -1,5 +1,6 @@
-"""`quinceslip quota check` and `quinceslip quota show`."""
+"""What `quinceslip quota ...` and `quinceslip model quota` do."""
 
+import argparse
 import http.client
 from collections.abc import Iterable
 from pathlib import Path
@@ -10,6 +11,8 @@
 
 from quinceslip.protocol.settings import SettingsError, Team, load_settings, read_operator_file, split_address
 from quinceslip.quota.config import SECTION, load_tree
+from quinceslip.quota.grants import GUARDS
+from quinceslip.quota.model import STEPS, explore
 from quinceslip.quota.show import table
 
 TIMEOUT_S = 5.0
@@ -71,3 +74,25 @@
     if found["trouble"]:
         yield found["trouble"]
     yield from table(found["levels"])
+
+
+def run_model(arguments: argparse.Namespace) -> tuple[bool, list[str]]:
+    """Whether the model says what it should (a breach only without a guard), and what it found."""
+    only = frozenset(word for word in arguments.only.split(",") if word)
+    if arguments.without not in ("", *GUARDS):
+        raise SettingsError(f"--without {arguments.without}: must be of {', '.join(GUARDS)}")
+    if only - set(STEPS):
+        raise SettingsError(f"--only {arguments.only}: must be of {', '.join(STEPS)}")
+    for name in ("depth", "shards", "controllers", "total"):
+        if getattr(arguments, name) < 1:
+            raise SettingsError(f"--{name} {getattr(arguments, name)}: must be 1 or more")
+    if arguments.controllers < arguments.shards:
+        raise SettingsError(f"--controllers {arguments.controllers}: must be as many as shards, or more")
+    result = explore(arguments.depth, arguments.shards, arguments.controllers, arguments.total, arguments.without,
+                     arguments.most_states, only)
+    found = [f"{result.states} states, depth {result.depth}{'' if result.whole else ', not all of them'}"]
+    if result.breach:
+        found += ["more tasks on machines than the purse has room for, after", *(f"  {s}" for s in result.breach)]
+    else:
+        found.append("no breach")
+    return bool(result.breach) == bool(arguments.without), found
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -121,8 +121,8 @@
         for name in [n for n in self.strange if n not in state.workers or state.workers[n].lost]:
             self.strange.discard(name)
         stamp = state.ownership.stamps.get(state.index, UNLIMITED)
-        return may_start(state.ownership.entitled(), not state.unresolved and not self.strange,
-                         state.ctx.view.ledger >= stamp)
+        return state.ownership.entitled() and may_start(not state.unresolved and not self.strange,
+                                                        state.ctx.view.ledger >= stamp)
 
     def allows(self, spec: m.JobSpec, count: int = 1) -> bool:
         """Whether that many tasks may start now, by every level above them."""
--- a/quinceslip/quota/grants.py
+++ b/quinceslip/quota/grants.py
@@ -11,7 +11,6 @@
   stamp        a write holds only for the record it was made from
   owner        a write holds only while its sender owns the shard (a late one of an earlier owner fails)
   limbo        after a write whose outcome is open, what it gives stays out of use until the record changed
-  entitled     nothing starts once another may have taken the shard
   resolved     a successor starts nothing until each worker of the roster showed its term or is gone
   caught_up    nor before its view has what the shard's earlier owner wrote
 
@@ -25,7 +24,7 @@
 
 from quinceslip.quota.tree import UNLIMITED, ZERO, Amounts, add, least, positive
 
-GUARDS = ("reserve", "spare", "pool", "stamp", "owner", "limbo", "entitled", "resolved", "caught_up")
+GUARDS = ("reserve", "spare", "pool", "stamp", "owner", "limbo", "resolved", "caught_up")
 ALL_GUARDS = frozenset(GUARDS)
 
 
@@ -51,10 +50,9 @@
     settles: bool = False  # it only settles an earlier one whose outcome is unknown
 
 
-def may_start(entitled: bool, resolved: bool, caught_up: bool, guards: frozenset[str] = ALL_GUARDS) -> bool:
-    """Whether a shard's owner knows all that is used, and may add to it."""
-    return ((entitled or "entitled" not in guards) and (resolved or "resolved" not in guards)
-            and (caught_up or "caught_up" not in guards))
+def may_start(resolved: bool, caught_up: bool, guards: frozenset[str] = ALL_GUARDS) -> bool:
+    """Whether a shard's owner knows all that is held and used, and may add to it."""
+    return (resolved or "resolved" not in guards) and (caught_up or "caught_up" not in guards)
 
 
 class Purse:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -30,6 +30,7 @@
 from quinceslip.coordination.foresight import foresee
 from quinceslip.coordination.state import Chunk
 from quinceslip.protocol import messages as m
+from quinceslip.quota.model import explore
 from quinceslip.storage import tasksets
 from quinceslip.storage.records import JobRecord, View
 from quinceslip.transport.clients import Budget, Pool
@@ -588,6 +589,13 @@
         tracemalloc.stop()
         assert len(view.by_kind["job"]) == count and used < float(plain[0]), used
 
+    def do_model(self, plain: list[str], named: dict[str, Any]) -> None:
+        """model [without=GUARD] [depth=N] [only=STEP,...]: a breach is found exactly where a guard is left out"""
+        result = explore(named.get("depth", 8), controllers=named.get("controllers", 2),
+                         without=named.get("without", ""), most_states=named.get("most", 0),
+                         only=frozenset(s for s in str(named.get("only", "")).split(",") if s))
+        assert bool(result.breach) == ("without" in named), (named, result)
+
     def do_input(self, plain: list[str], named: dict[str, Any]) -> None:
         bad_input(plain[0])
 
