Property tests of quotas, and the six defects they found; what a pass with 5,000 leaves costs

Change: Hypothesis drives real placement on one shard against oracles that recompute from scratch. Found and mended: what whole tasks left of a division went first come, first served; a child's cap did not bound its parent's need; a sibling took the room a guarantee had just claimed; priority and guarantee stopped each other for ever (room made for a job is kept for it, and priority alone does not stop what rests on a guarantee); lower work of the same job's team took it; on a full machine only one task a pass was made room for. Levels that had no room are remembered within a pass.

--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -67,6 +67,10 @@
     show.add_argument("--from", dest="address", required=True, metavar="ADDRESS", help="a controller's api_addr")
     show.add_argument("--json", action="store_true", help="one JSON object instead of a table")
     show.set_defaults(act=quota_show)
+    bench = parts.add_parser("bench", help="what a pass costs with and without a tree, in one run")
+    bench.add_argument("--leaves", type=int, default=5000)
+    bench.add_argument("--machines", type=int, default=300)
+    bench.set_defaults(act=quota_bench)
 
 
 def quota_check(arguments: argparse.Namespace) -> int:
@@ -84,6 +88,14 @@
     return 0
 
 
+def quota_bench(arguments: argparse.Namespace) -> int:
+    from quinceslip.quota.commands import bench_lines
+
+    for line in bench_lines(arguments.leaves, arguments.machines):
+        print(line)
+    return 0
+
+
 def _load(arguments: argparse.Namespace) -> tuple[Settings, Tuning, str, list[Maker]]:
     settings = load_settings(arguments.config)
     operators = read_operator_file(arguments.operator_config)
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from quinceslip.coordination.context import SECOND
 from quinceslip.coordination.state import ATTEMPTS_PER_TERM, EPSILON, Attempt, Chunk, ShardState, Worker, fits
@@ -100,7 +100,7 @@
         if worker.type is not None and worker.type.cpus - worker.used_cpus > EPSILON:
             queue, quota = self.state.ordered(), self.state.quota
             if quota is not None:
-                queue.sort(key=lambda c: (c.spec.priority, quota.fair_key(c.spec.team), c.order()))
+                queue = quota.for_one_place(queue)
             if queue:
                 self._pass(queue, [worker], False)
 
@@ -151,7 +151,7 @@
 
         Of two machines best fit takes the fuller one, and it stays the best as it fills up.
         """
-        if self._hopeless(chunk, None, failed, False):
+        if self._hopeless(chunk, None, failed, False) or not self._allows(chunk, whole, [] if roomy else workers):
             return
         spec = chunk.spec
         aside = self._paused(chunk)
@@ -170,7 +170,7 @@
                     self._launch(chunk, index, worker)
                 if not chunk.pending:
                     return
-            while whole and chunk.pending and self._allows(chunk, whole, False):
+            while whole and chunk.pending and self._allows(chunk, whole, workers):
                 spare = self._make_room(chunk, workers, None)
                 if spare is None:
                     stuck = True
@@ -303,9 +303,9 @@
                     room[0] += attempt.spec.cpus
                     room[1] += attempt.spec.gpus
                     room[2] += attempt.spec.memory_gb
-            search = quota.search(spec) if quota is not None and guaranteed else None
+            search = quota.search(spec) if quota is not None else None
             victims = [a for a in worker.live() if a.seen and not a.halting and (
-                (spec.priority <= 1 and a.spec.priority > spec.priority) or (search is not None and search.may(a)))]
+                search.may(a) if search is not None else spec.priority <= 1 and a.spec.priority > spec.priority)]
             victims.sort(key=lambda a: (-a.spec.priority, a.spec.checkpoint_s == 0, -a.running_us))
             chosen: list[Attempt] = []
             lost = 0.0
@@ -337,13 +337,16 @@
 
     # Quotas.
 
-    def _allows(self, chunk: Chunk, whole: bool, placeable: bool = True) -> bool:
-        """Whether one more task may start by its quotas; if not, they are told so in a whole pass."""
+    def _allows(self, chunk: Chunk, whole: bool, full: Sequence[Worker] = ()) -> bool:
+        """Whether one more task may start by its quotas; if not, they are told so in a whole pass.
+
+        `full` are the machines, where none of them has room.
+        """
         quota = self.state.quota
         if quota is None or quota.allows(chunk.spec):
             return True
         if whole and not quota.waits_for_round():
-            quota.blocked(chunk, 1, placeable)
+            quota.blocked(chunk, 1, not full, (w for w in full if self.allowed(w, chunk.spec, None)))
         return False
 
     def _admits(self, chunk: Chunk, whole: bool) -> bool:
--- /dev/null
+++ b/quinceslip/quota/bench.py
@@ -0,0 +1,146 @@
+"""One shard without a network: real placement and quotas, with machines that obey at once.
+
+For `quinceslip quota bench` (what a pass costs) and for property tests. Times are wall-clock
+microseconds of this machine; compare them within one run only.
+"""
+
+import time
+import tracemalloc
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from quinceslip.coordination.context import SECOND, Context
+from quinceslip.coordination.placement import Placement
+from quinceslip.coordination.state import Attempt, Chunk, ShardState, Worker
+from quinceslip.protocol import messages as m
+from quinceslip.protocol.settings import Settings, Tuning
+from quinceslip.quota.gate import Gate
+from quinceslip.quota.grants import GrantRecord
+from quinceslip.quota.keeper import Quotas
+from quinceslip.quota.purses import CAP, GRANT, OWN, Purses, grant_name
+from quinceslip.quota.tree import UNLIMITED, Amounts, Level, Tree
+from quinceslip.storage import records
+
+ZONE = "z"
+
+
+class Rights:
+    """A shard that is ours for ever."""
+
+    stamps: dict[int, int] = {0: 0}
+
+    def entitled(self) -> bool:
+        return True
+
+    def claim(self, shard: int, above: int = 0) -> None:
+        pass
+
+
+class Bed:
+    """One shard that holds all of every level's amounts; `pass_` is one scheduling pass."""
+
+    def __init__(self, tree: Tree | None, machines: int, cpus: float) -> None:
+        teams = [{"name": name} for name in (tree.leaves if tree is not None else [])]
+        facts = {"size": 1, "zones": [ZONE], "teams": teams,
+                 "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 35.0},
+                 "state": {"rps": 150.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 16},
+                 "cloud": {"rps": 8.0, "list_lag_s": 3.0}}
+        settings = msgspec.convert({"label": "one", "location": ZONE, "api_addr": "127.0.0.1:1",
+                                    "peer_bind": "127.0.0.1:2", "facts": facts,
+                                    "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"}}, Settings)
+        self.ctx = Context(settings, Tuning(), SECOND, SECOND)
+        rights: Any = Rights()
+        self.state = ShardState(self.ctx, rights, 0, 1)
+        self.placement = Placement(self.state)
+        self.gate: Gate | None = None
+        if tree is not None:
+            self.ctx.view.know(Quotas.kinds)
+            self.gate = self.state.quota = Gate(tree, Purses(tree, self.ctx.view), self.state)
+            for level in tree.levels:
+                for kind, amounts, given in ((CAP, level.cap, level.capped), (OWN, level.guarantee, level.guaranteed)):
+                    if given:
+                        self._grant(grant_name(level.name, kind), amounts)
+        size = m.MachineType("m", cpus, 0.0, 1e6, 1.0, 10.0, [ZONE])
+        for number in range(machines):
+            worker = Worker(f"n-{number}", size, ZONE, False, heard_us=SECOND, report_us=SECOND, confirmed=True,
+                            armed=True)
+            self.state.workers[worker.name] = worker
+        self.jobs = 0
+
+    def _grant(self, name: str, amounts: Amounts) -> None:
+        part = [a if a < UNLIMITED else 0 for a in amounts]
+        total = [a if a < UNLIMITED else -1 for a in amounts]
+        self.ctx.view.put(f"{records.PREFIX}{GRANT}/{name}", GrantRecord(0, total, parts={"0": part}), 1)
+
+    def submit(self, team: str, tasks: int, cpus: float = 1.0, rank: str = "normal", kind: str = "array") -> Chunk:
+        self.jobs += 1
+        spec = m.JobSpec(uid=f"req-{self.jobs}", job_class="c", team=team, kind=kind,  # type: ignore[arg-type]
+                         rank=rank, tasks=tasks, cpus=cpus, gpus=0.0,  # type: ignore[arg-type]
+                         memory_gb=0.0, image="i", image_gb=0.0, one_zone=False, spread=False, spot=True,
+                         estimate_s=1.0, checkpoint_s=0.0, save_s=0.0)
+        chunk = Chunk(spec.uid, spec, at_us=self.jobs, own=set(range(tasks)))
+        self.state.chunks[chunk.uid] = chunk
+        self.state.add_pending(chunk, range(tasks))
+        return chunk
+
+    def pass_(self) -> tuple[int, int]:
+        """One pass: how many tasks started, and how many were told to stop. Machines obey at once."""
+        self.state.dirty = True
+        before = {a for w in self.state.workers.values() for a in w.attempts.values()}
+        self.placement.plan()
+        started = stopped = 0
+        for worker in self.state.workers.values():
+            for attempt in list(worker.attempts.values()):
+                if attempt.halting:
+                    stopped += 1
+                    self.state.requeue(worker, attempt)
+                    self.state.detach(worker, attempt.name)
+                elif attempt not in before:
+                    started += 1
+                    attempt.seen, attempt.running_us = True, self.ctx.now_us
+        return started, stopped
+
+    def finish(self, attempt: Attempt) -> None:
+        worker, chunk = self.state.workers[attempt.worker], self.state.chunks[attempt.uid]
+        self.state.end(worker, attempt, m.CAUSE_DONE)
+        chunk.new_done.add(attempt.index)
+        del chunk.attempts[attempt.index]
+        self.state.detach(worker, attempt.name)
+
+    def running(self) -> list[Attempt]:
+        return [a for w in self.state.workers.values() for a in w.attempts.values()]
+
+
+@dataclass(slots=True)
+class Cost:
+    leaves: int
+    machines: int
+    first_us: int  # a pass that fills the fleet
+    full_us: int  # a pass that finds the fleet full
+    looked: int  # workers that the two looked at
+    bytes_per_leaf: float
+
+
+def measure(leaves: int, machines: int, with_tree: bool) -> Cost:
+    """A pass with a job of every leaf waiting: one that fills the fleet, one that finds it full."""
+    groups = max(1, leaves // 100)
+    cap = (UNLIMITED,) * 4
+    levels = [Level("root", cap=(machines * 16000, *cap[1:]))]
+    levels += [Level(f"g{g}", "root", cap=(machines * 1600, *cap[1:])) for g in range(groups)]
+    levels += [Level(f"t{i}", f"g{i % groups}", 1.0 + i % 3, (8000, *cap[1:]), team=True) for i in range(leaves)]
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    tree = Tree(levels) if with_tree else None
+    bed = Bed(tree, machines, 16.0)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    for i in range(leaves):
+        bed.submit(f"t{i}", 4, 1.0)
+    times_us = []
+    for _ in range(2):
+        started_ns = time.perf_counter_ns()
+        bed.pass_()
+        times_us.append((time.perf_counter_ns() - started_ns) // 1000)
+    return Cost(leaves, machines, times_us[0], times_us[1], bed.placement.looked, used / leaves)
--- a/quinceslip/quota/commands.py
+++ b/quinceslip/quota/commands.py
@@ -4,18 +4,22 @@
 import http.client
 from collections.abc import Iterable
 from pathlib import Path
+from statistics import median
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
 from quinceslip.protocol.settings import SettingsError, Team, load_settings, read_operator_file, split_address
+from quinceslip.quota.bench import Cost, measure
 from quinceslip.quota.config import SECTION, load_tree
 from quinceslip.quota.grants import GUARDS
 from quinceslip.quota.model import STEPS, explore
 from quinceslip.quota.show import table
 
 TIMEOUT_S = 5.0
+#: passes measured with and without a tree, in turn
+RUNS = 3
 
 
 def check_file(path: Path, config: Path | None) -> str:
@@ -96,3 +100,21 @@
     else:
         found.append("no breach")
     return bool(result.breach) == bool(arguments.without), found
+
+
+def bench_lines(leaves: int, machines: int) -> Iterable[str]:
+    """Passes with and without a tree in turn, and the ratio of their medians."""
+    if min(leaves, machines) < 1:
+        raise SettingsError(f"--leaves {leaves} --machines {machines}: must be 1 or more")
+    found: dict[bool, list[Cost]] = {True: [], False: []}
+    for _ in range(RUNS):
+        for with_tree in (False, True):
+            found[with_tree].append(measure(leaves, machines, with_tree))
+    for with_tree, costs in found.items():
+        first, full = (int(median(values)) for values in zip(*((c.first_us, c.full_us) for c in costs), strict=True))
+        memory = median(c.bytes_per_leaf for c in found[True]) - median(c.bytes_per_leaf for c in found[False])
+        yield (f"{'with a tree' if with_tree else 'without':>12}: {leaves} leaves, {machines} machines: a pass that "
+               f"fills the fleet {first} us, one that finds it full {full} us, {costs[0].looked} workers looked at"
+               + (f", {memory:.0f} bytes a leaf" if with_tree else ""))
+    for name, of in (("fills", lambda c: c.first_us), ("full", lambda c: c.full_us)):
+        yield f"ratio of a pass ({name}): {median(map(of, found[True])) / median(map(of, found[False])):.2f}"
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -7,17 +7,34 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
-from itertools import groupby
+from itertools import groupby, islice
 
-from quinceslip.coordination.state import Attempt, Chunk, ShardState, Worker
+from quinceslip.coordination.context import SECOND
+from quinceslip.coordination.state import Attempt, Chunk, ShardState, Worker, fits
 from quinceslip.protocol import messages as m
 from quinceslip.quota.fair import divide
 from quinceslip.quota.grants import may_start
 from quinceslip.quota.purses import Purses
-from quinceslip.quota.tree import KINDS, UNLIMITED, ZERO, Amounts, Tree, add, positive, task_amounts, times, within
+from quinceslip.quota.tree import (
+    KINDS,
+    UNLIMITED,
+    ZERO,
+    Amounts,
+    Tree,
+    add,
+    least,
+    positive,
+    task_amounts,
+    times,
+    within,
+)
 
 #: shares are compared in parts of what a parent has
 ONE = 1 << 30
+#: of so many waiting chunks at most the fairest is sought for one place; a whole pass looks at all
+MOST_FOR_ONE_PLACE = 64
+#: room that was made for a job is kept for it so long: what stops may have to save first
+KEPT_US = 10 * SECOND
 
 
 @dataclass(slots=True)
@@ -51,8 +68,11 @@
         self.last_held_back = False  # the last refusal was a target's
         self.demand: dict[int, Amounts] = {}  # of waiting work, by level with a guarantee
         self.capacity: Amounts = ZERO
+        self.refused: dict[int, Amounts] = {}  # levels that had no room in this pass, and for how much
         self.promised: dict[int, Amounts] = {}  # room that claims of this pass have been made
+        self.kept: dict[str, tuple[str, Amounts, int]] = {}  # by job: its team, room made for it, and until when
         self.victims: list[Attempt] | None = None  # what could be stopped, in order, for this pass
+        self.entered = 0  # tasks counted so far
         self.stopped = 0  # tasks told to make room for others' quota, for tests and the log
 
     # Counting.
@@ -61,10 +81,15 @@
         path = self.tree.path(attempt.spec.team)
         if path and attempt.counted is None:
             attempt.counted = task_amounts(attempt.spec)
+            self.entered += 1
+            if attempt.uid in self.kept:
+                team, room, until_us = self.kept[attempt.uid]
+                self.kept[attempt.uid] = (team, positive(add(room, attempt.counted, -1)), until_us)
             self._count(self.use, path, attempt.counted, 1)
             self.teams.setdefault(attempt.spec.team, {})[attempt] = None
 
     def leave(self, attempt: Attempt) -> None:
+        self.refused.clear()
         self.unsettled.pop(attempt, None)
         if attempt.counted is None:
             return
@@ -130,22 +155,44 @@
         if not path:
             return True
         need = times(task_amounts(spec), count)
+        capped = self.tree.capped[spec.team]
         self.last_held_back = False
-        if any(self.tree.levels[level].capped for level in path) and not self.open():
+        for level in capped:
+            known = self.refused.get(level)
+            if known is not None and within(known, need):
+                return False
+        if capped and not self.open():
             return False
-        for level in path:
-            used = add(self.use.get(level, ZERO), need)
-            if self.tree.levels[level].capped:
-                purse = self.purses.cap(level)
-                if not within(used, purse.limit(self.state.index)) or purse.over(need) \
-                        or not self.purses.confirmed(level):
-                    return False
-            target = self.targets.get(level)
-            if target is not None and not within(used, target):
-                self.held_back = self.last_held_back = True
+        for level in capped:
+            purse = self.purses.cap(level)
+            wanted = add(self.use.get(level, ZERO), need)
+            if not within(wanted, purse.limit(self.state.index)) or purse.over(need) \
+                    or not self.purses.confirmed(level):
+                self.refused[level] = need
                 return False
+            if self.kept and not within(add(wanted, self._kept_for_others(level, spec.uid)),
+                                        purse.limit(self.state.index)):
+                return False
+        if self.targets:
+            for level in path:
+                target = self.targets.get(level)
+                if target is not None and not within(add(self.use.get(level, ZERO), need), target):
+                    self.held_back = self.last_held_back = True
+                    return False
         return True
 
+    def _kept_for_others(self, level: int, uid: str) -> Amounts:
+        """Room beneath a level that was made for other jobs, which take it when what was stopped has gone.
+
+        Without this, higher priority beyond its guarantee would take what a guarantee has just claimed from
+        it, and the two would stop each other for ever.
+        """
+        total = ZERO
+        for other, (team, room, _) in self.kept.items():
+            if other != uid and level in self.tree.path(team):
+                total = add(total, room)
+        return total
+
     def waits_for_round(self) -> bool:
         """Whether the last refusal was only for the sake of others in this round, with another to come."""
         return self.last_held_back
@@ -167,7 +214,7 @@
 
     # The order of a pass.
 
-    def rounds(self, queue: Sequence[Chunk], workers: Iterable[Worker]) -> Iterator[list[Chunk]]:
+    def rounds(self, queue: Sequence[Chunk], workers: Sequence[Worker]) -> Iterator[list[Chunk]]:
         """The queue in rounds: priority by priority; first each level within its part, then what is left over.
 
         Without a second round, room would stay empty that nobody entitled to it can use.
@@ -178,35 +225,78 @@
                 self.leave(attempt)
         self.claims.clear()
         self.promised.clear()
+        self.refused.clear()
         self.victims = None
         sizes = [w.type for w in workers if w.type is not None]
         self.capacity = (int(sum(t.cpus for t in sizes) * 1000), int(sum(t.gpus for t in sizes) * 1000),
                          int(sum(t.memory_gb for t in sizes) * 1000), UNLIMITED)
+        now_us = self.state.ctx.now_us
+        waiting = {c.uid for c in queue} if self.kept else set()
+        self.kept = {uid: kept for uid, kept in self.kept.items()
+                     if any(kept[1]) and now_us < kept[2] and uid in waiting}
         self.demand.clear()
         for chunk in queue:
             chunk.held = False
-            path = [level for level in self.tree.path(chunk.spec.team) if self.tree.levels[level].guaranteed]
+            path = self.tree.guaranteed.get(chunk.spec.team)
             if path:
                 self._count(self.demand, path, times(task_amounts(chunk.spec), len(chunk.pending)), 1)
         for _, group in groupby(queue, key=lambda c: c.spec.priority):
             chunks = list(group)
-            self.held_back = False
-            self.targets = self._targets(chunks) if len({c.spec.team for c in chunks}) > 1 else {}
-            yield chunks
-            if self.held_back:
+            self.held_back, self.targets = False, {}
+            least_cpus = min(c.spec.cpus for c in chunks)
+            # Where nothing is free, nothing is to be divided.
+            if self._free(workers, least_cpus) and len({c.spec.team for c in chunks}) > 1:
+                self.targets = self._targets(chunks)
+                # Some have more than their part by now, and keep it: what is left goes first to those
+                # that their guarantee gives it to.
+                yield self._fairest(chunks)
+                yield from self._lend(chunks, workers, least_cpus)
+                chunks = [c for c in chunks if c.pending] if self.held_back else []
                 self.targets = {}
-                yield [c for c in chunks if c.pending]
-        self.targets = {}
+            if chunks:
+                yield chunks
+
+    @staticmethod
+    def _free(workers: Sequence[Worker], cpus: float) -> bool:
+        return any(w.free()[0] >= cpus for w in workers)
+
+    def _lend(self, chunks: Sequence[Chunk], workers: Sequence[Worker], least_cpus: float) -> Iterator[list[Chunk]]:
+        """What whole tasks left of the parts: one task at a time to whoever has borrowed least.
+
+        Turn by turn twice as many, so that room which only few can use is given out in few turns.
+        """
+        most = 1
+        while self.held_back and self._free(workers, least_cpus):
+            rest = self._fairest(c for c in chunks if c.pending and not c.held)
+            self.held_back = False
+            self.targets = {self.tree.path(c.spec.team)[0]: add(self.use.get(self.tree.path(c.spec.team)[0], ZERO),
+                                                                task_amounts(c.spec), most)
+                            for c in reversed(rest) if self.tree.path(c.spec.team)}
+            before = self.entered
+            yield rest
+            if self.entered == before:
+                self.held_back = True
+                return
+            most *= 2
 
     def _targets(self, chunks: Sequence[Chunk]) -> dict[int, Amounts]:
         """What each level should use after this round: use so far, and a fair part of what is left."""
-        need: dict[int, Amounts] = {}
+        waiting: dict[str, Amounts] = {}
         for chunk in chunks:
-            path = self.tree.path(chunk.spec.team)
-            if path:
-                self._count(need, path, times(task_amounts(chunk.spec), len(chunk.pending)), 1)
-        for level in need:
-            need[level] = add(need[level], self.use.get(level, ZERO))
+            team = chunk.spec.team
+            waiting[team] = add(waiting.get(team, ZERO), task_amounts(chunk.spec), len(chunk.pending))
+        need: dict[int, Amounts] = {}
+        for team, amounts in waiting.items():
+            self._count(need, self.tree.path(team), amounts, 1)
+        # Children come after their parents: what a child's own limit keeps from it is no need of its parent.
+        for level in sorted(need, reverse=True):
+            beneath = [c for c in self.tree.levels[level].children if c in need]
+            total = self.use.get(level, ZERO)
+            for child in beneath:
+                total = add(add(total, need[child]), self.use.get(child, ZERO), -1)
+            if not beneath:
+                total = add(total, need[level])
+            need[level] = _shrunk(total, self._limit(level))
         targets: dict[int, Amounts] = {}
         tops = [level for level in need if not self.tree.levels[level].parent]
         self._divide(tops, self.capacity, ZERO, need, targets)
@@ -226,17 +316,27 @@
                 used = self.use.get(level, ZERO)
                 for child in children:
                     used = add(used, self.use.get(child, ZERO), -1)
-                limit = self._limit(level)
-                target = targets[level]
-                self._divide(children, (min(limit[0], target[0]), min(limit[1], target[1]), min(limit[2], target[2]),
-                                        min(limit[3], target[3])), used, need, targets)
+                # Of a resource that nothing bounds, no part is too large.
+                bounds = [part if whole < UNLIMITED else whole
+                          for part, whole in zip(targets[level], capacity, strict=True)]
+                self._divide(children, least(bounds, self._limit(level)), used, need, targets)
+
+    def for_one_place(self, queue: Sequence[Chunk]) -> list[Chunk]:
+        """Who may take a place that has just become free, first the one furthest below its part."""
+        first = list(islice((c for c in queue if not c.held), MOST_FOR_ONE_PLACE))
+        return self._fairest(first) if len({c.spec.team for c in first}) > 1 else first
+
+    def _fairest(self, chunks: Iterable[Chunk]) -> list[Chunk]:
+        """Priority first, then who has borrowed least, then first come, first served."""
+        return sorted(chunks, key=lambda c: (c.spec.priority, self.fair_key(c.spec.team), c.order()))
 
     def fair_key(self, team: str) -> tuple[float, ...]:
         """Who comes first where one place is free: from the root on, what is borrowed least for its weight."""
         key: list[float] = []
         for level in reversed(self.tree.path(team)):
-            borrowed = positive(add(self.use.get(level, ZERO), self._own(level), -1))
-            key.append(_share(borrowed, self.capacity) / self.tree.levels[level].weight)
+            own, used = self._own(level), self.use.get(level, ZERO)
+            key.append(float(not any(u < o < UNLIMITED for u, o in zip(used, own, strict=True))))
+            key.append(_share(positive(add(used, own, -1)), self.capacity) / self.tree.levels[level].weight)
         return tuple(key)
 
     def _limit(self, level: int) -> Amounts:
@@ -252,9 +352,11 @@
 
     def rests_on(self, spec: m.JobSpec, count: int = 1) -> set[int]:
         """The levels within whose guarantee that many tasks more would be."""
+        path = self.tree.guaranteed.get(spec.team)
+        if not path:
+            return set()
         need = times(task_amounts(spec), count)
-        return {level for level in self.tree.path(spec.team) if self.tree.levels[level].guaranteed
-                and within(add(self._spoken_for(level), need), self._own(level))}
+        return {level for level in path if within(add(self._spoken_for(level), need), self._own(level))}
 
     def _spoken_for(self, level: int) -> Amounts:
         """What stays in use, and what others of this pass were made room for."""
@@ -267,14 +369,13 @@
         """By level, how much more the shard would have to hold, or others stop using."""
         need = times(task_amounts(spec), count)
         found: dict[int, Amounts] = {}
-        for level in self.tree.path(spec.team):
-            if self.tree.levels[level].capped:
-                short = positive(add(add(self._spoken_for(level), need), self._limit(level), -1))
-                if any(short):
-                    found[level] = short
+        for level in self.tree.capped.get(spec.team, ()):
+            short = positive(add(add(self._spoken_for(level), need), self._limit(level), -1))
+            if any(short):
+                found[level] = short
         return found
 
-    def blocked(self, chunk: Chunk, count: int, placeable: bool) -> None:
+    def blocked(self, chunk: Chunk, count: int, placeable: bool, workers: Iterable[Worker] = ()) -> None:
         """A chunk waits for its quota alone: note the claim, and have borrowed work here make room."""
         chunk.held = True
         spec = chunk.spec
@@ -283,46 +384,78 @@
         if known is not None:
             known.need = add(known.need, waiting)
             return
-        self.claims[spec.team] = Claim(spec.team, times(task_amounts(spec), count), waiting,
-                                       (int(not placeable), spec.priority, chunk.at_us, chunk.uid), spec, count)
-        if self.open():
-            self.make_room(spec, count, len(chunk.pending) // count)
+        if self._others_hold(spec.team):
+            self.claims[spec.team] = Claim(spec.team, times(task_amounts(spec), count), waiting,
+                                           (int(not placeable), spec.priority, chunk.at_us, chunk.uid), spec, count)
+        if (spec.priority <= 1 or self.tree.guaranteed.get(spec.team)) and self.open():
+            if placeable:
+                self.make_room(spec, count, len(chunk.pending) // count)
+            else:
+                # No machine has room either: what stops must leave room for a task on one of them.
+                left = len(chunk.pending) // count
+                for worker in workers:
+                    while left > 0 and self.make_room(spec, count, 1, machine=worker):
+                        left -= 1
+
+    def _others_hold(self, team: str) -> bool:
+        """Whether the levels that had no room could get any from the pool or another shard."""
+        for level in self.tree.capped.get(team, ()):
+            if level in self.refused:
+                purse = self.purses.cap(level)
+                elsewhere = add(purse.ruling(), purse.held(self.state.index), -1)
+                if not any(0 < left < UNLIMITED // 2 for left in elsewhere):
+                    return False
+        return True
 
     def make_room(self, spec: m.JobSpec, count: int, times_: int, rests_on: set[int] | None = None,
-                  lacking: dict[int, Amounts] | None = None) -> None:
-        """Have borrowed work stop for as many tasks as may claim it, `count` at a time.
+                  lacking: dict[int, Amounts] | None = None, machine: Worker | None = None) -> bool:
+        """Have borrowed work stop for as many tasks as may claim it, `count` at a time; whether any will.
 
         `rests_on` and `lacking` are another shard's, where the claim is from there.
         """
+        made = False
         for _ in range(times_):
             short = self.lacking(spec, count) if lacking is None else lacking
-            if short and not self.reclaim(spec, short, self.search(spec, count, rests_on)):
-                return
-            self._count(self.promised, self.tree.path(spec.team), times(task_amounts(spec), count), 1)
-
-    def reclaim(self, spec: m.JobSpec, lacking: dict[int, Amounts], search: "Search") -> bool:
-        """Stop what gives way until the levels have that much room; all of it or nothing is stopped."""
+            if short and not self.reclaim(spec, short, self.search(spec, count, rests_on), machine):
+                return made
+            made = True
+            room = times(task_amounts(spec), count)
+            self._count(self.promised, self.tree.path(spec.team), room, 1)
+            if short and lacking is None:
+                known = self.kept[spec.uid][1] if spec.uid in self.kept else ZERO
+                self.kept[spec.uid] = (spec.team, add(known, room), self.state.ctx.now_us + KEPT_US)
+        return made
+
+    def reclaim(self, spec: m.JobSpec, lacking: dict[int, Amounts], search: "Search",
+                machine: Worker | None = None) -> bool:
+        """Stop what gives way until the levels have that much room; all of it or nothing is stopped.
+
+        With a machine, only what runs there, and it must have room for a task afterwards.
+        """
         if spec.priority > 1 and not search.rests_on:
             return False
         if self.victims is None:
             self.victims = sorted((a for team in self.teams.values() for a in team if a.seen), key=stopped_first)
         left = dict(lacking)
         chosen: list[Attempt] = []
+        free = machine.free() if machine is not None else (0.0, 0.0, 0.0)
         for victim in self.victims:
-            if not left:
+            if not left and (machine is None or fits(free, spec)):
                 break
-            if victim.halting or victim.ended:
+            if victim.halting or victim.ended or (machine is not None and victim.worker != machine.name):
                 continue
             path = self.tree.path(victim.spec.team)
-            if victim.counted is not None and any(level in left for level in path) and search.may(victim):
+            useful = machine is not None or any(level in left for level in path)
+            if victim.counted is not None and useful and search.may(victim):
                 search.pick(victim)
                 chosen.append(victim)
+                free = (free[0] + victim.spec.cpus, free[1] + victim.spec.gpus, free[2] + victim.spec.memory_gb)
                 for level in path:
                     if level in left:
                         left[level] = positive(add(left[level], victim.counted, -1))
                         if not any(left[level]):
                             del left[level]
-        if left:
+        if left or (machine is not None and not fits(free, spec)):
             return False
         for victim in chosen:
             self.stopped += 1
@@ -343,19 +476,26 @@
         """Lower priority gives way to production and urgent work; otherwise only what is borrowed does.
 
         Work is borrowed from a level if every level from its team up to where the two paths part is
-        beyond its guarantee: an uncle's guarantee is as safe as a sibling's.
+        beyond its guarantee: an uncle's guarantee is as safe as a sibling's. Priority alone does not stop
+        what rests on a guarantee unless the claim does as well: its owner would claim the room back at
+        once, and the two would stop each other for ever.
         """
-        if self.spec.priority <= 1 and victim.spec.priority > self.spec.priority:
-            return True
         tree = self.gate.tree
         parting = tree.parting(self.spec.team, victim.spec.team)
-        if parting is None or parting[0] not in self.rests_on:
+        higher = self.spec.priority <= 1 and victim.spec.priority > self.spec.priority
+        if parting is None or parting[0] in self.rests_on:
+            if higher:
+                return True
+        elif not higher:
             return False
-        for level in tree.path(victim.spec.team):
+        return parting is not None and self._borrowed(victim, parting[1])
+
+    def _borrowed(self, victim: Attempt, top: int) -> bool:
+        for level in self.gate.tree.path(victim.spec.team):
             used = add(self.gate.net(level), self.picked.get(level, ZERO), -1)
             if within(used, self.gate._own(level)):
                 return False
-            if level == parting[1]:
+            if level == top:
                 return True
         return False
 
@@ -374,3 +514,13 @@
     parts = [amounts[kind] * ONE // max(of[kind], 1) for kind in range(KINDS)
              if of[kind] < UNLIMITED and amounts[kind] < UNLIMITED]
     return max(parts, default=0)
+
+
+def _shrunk(amounts: Amounts, limit: Amounts) -> Amounts:
+    """As much of an amount as fits into a limit, all resources in proportion."""
+    if within(amounts, limit):
+        return amounts
+    whole, part = min(((a, most) for a, most in zip(amounts, limit, strict=True) if a > most),
+                      key=lambda pair: pair[1] / pair[0])
+    return (-(-amounts[0] * part // whole), -(-amounts[1] * part // whole), -(-amounts[2] * part // whole),
+            -(-amounts[3] * part // whole))
--- a/quinceslip/quota/grants.py
+++ b/quinceslip/quota/grants.py
@@ -58,7 +58,7 @@
 class Purse:
     """One amount of one level as one controller knows it; it may own several shards that hold of it."""
 
-    __slots__ = ("guards", "key", "move", "parent", "record", "stamp", "total", "version")
+    __slots__ = ("_pool", "guards", "key", "move", "parent", "record", "stamp", "total", "version")
 
     def __init__(self, key: str, total: Amounts, version: int, parent: str = "",
                  guards: frozenset[str] = ALL_GUARDS) -> None:
@@ -70,12 +70,13 @@
         self.record: GrantRecord | None = None
         self.stamp = 0
         self.move: Move | None = None
+        self._pool: Amounts | None = None
 
     # What is known.
 
     def seen(self, record: GrantRecord | None, stamp: int) -> None:
         """The view has the record under a new stamp (0: there is none)."""
-        self.record, self.stamp = record, stamp
+        self.record, self.stamp, self._pool = record, stamp, None
         move = self.move
         if move is not None and move.open and stamp != move.conditions.get(self.key, stamp):
             self.move = None  # it was applied with this stamp, or can never be
@@ -102,6 +103,11 @@
 
     def pool(self) -> Amounts:
         """What nobody holds; negative where more is held than there is any more."""
+        if self._pool is None:
+            self._pool = self._count_pool()
+        return self._pool
+
+    def _count_pool(self) -> Amounts:
         total = self.ruling()
         together = [0, 0, 0, 0]
         if self.record is not None:
@@ -114,7 +120,7 @@
     def over(self, need: Sequence[int]) -> bool:
         """Whether more is held than the (lowered) total in a resource that is needed: nothing new starts."""
         pool = self.pool()
-        return any(n > 0 and p < 0 for n, p in zip(need, pool, strict=True))
+        return min(pool) < 0 and any(n > 0 and p < 0 for n, p in zip(need, pool, strict=True))
 
     # Moves. One at a time for each purse: a second one would rest on a record that the first replaces.
 
--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -261,7 +261,7 @@
             first = mine is None or tuple(wanted.order) < mine
             left = [give(shard, key, _four(lack), first) for key, lack in wanted.lacks.items()]
             rest = {level: least(lack, wanted.unit) for level, lack in (e for e in left if e is not None)}
-            if rest and not moves and self._our_turn(index, int(shard), rest):
+            if rest and not moves and not wanted.order[0] and self._our_turn(index, int(shard), rest):
                 self._make_room(gate, wanted, rest)
         for shard, record in asking.items():
             for key, lack in record.own.items():
--- a/quinceslip/quota/purses.py
+++ b/quinceslip/quota/purses.py
@@ -56,6 +56,8 @@
         self.tree = tree
         self.view = view
         self.by_name: dict[str, Purse] = {}
+        self._caps: dict[int, Purse] = {}
+        self._owns: dict[int, Purse] = {}
         #: purses of which more is held than there is
         self.lowered: dict[str, int] = {}
         #: the newest version of the tree that any controller has, and whether this one's is older
@@ -63,20 +65,18 @@
         self.behind = False
 
     def cap(self, level: int) -> Purse:
-        return self._get(level, CAP)
+        return self._caps.get(level) or self._make(self._caps, level, CAP)
 
     def own(self, level: int) -> Purse:
-        return self._get(level, OWN)
+        return self._owns.get(level) or self._make(self._owns, level, OWN)
 
-    def _get(self, level: int, kind: str) -> Purse:
+    def _make(self, found: dict[int, Purse], level: int, kind: str) -> Purse:
         place = self.tree.levels[level]
         name = grant_name(place.name, kind)
-        purse = self.by_name.get(name)
-        if purse is None:
-            total = place.cap if kind == CAP else place.guarantee
-            purse = self.by_name[name] = Purse(f"{records.PREFIX}{GRANT}/{name}", total, self.tree.version,
-                                               place.parent)
-            self.changed(name)
+        total = place.cap if kind == CAP else place.guarantee
+        purse = found[level] = self.by_name[name] = Purse(f"{records.PREFIX}{GRANT}/{name}", total, self.tree.version,
+                                                          place.parent)
+        self.changed(name)
         return purse
 
     def place(self, key: str) -> tuple[int, str] | None:
--- a/quinceslip/quota/tree.py
+++ b/quinceslip/quota/tree.py
@@ -106,6 +106,9 @@
             ready += beneath.get(level.name, [])
         self._derive()
         self.leaves: dict[str, Level] = {level.name: level for level in self.levels if level.team}
+        #: by team, the levels of its path that have a cap, and those that have a guarantee
+        self.capped = {v.name: tuple(i for i in v.path if self.levels[i].capped) for v in self.leaves.values()}
+        self.guaranteed = {v.name: tuple(i for i in v.path if self.levels[i].guaranteed) for v in self.leaves.values()}
         self.digest = hashlib.sha256("\n".join(sorted(
             f"{v.name} {v.parent} {v.weight} {v.cap} {v.guarantee}" for v in self.levels)).encode()).hexdigest()[:16]
 
--- /dev/null
+++ b/tests/test_quota_properties.py
@@ -0,0 +1,194 @@
+"""Properties of quotas over random trees and random work, against oracles that recompute from scratch."""
+
+from fractions import Fraction
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quinceslip.quota.bench import Bed
+from quinceslip.quota.fair import divide, fill
+from quinceslip.quota.tree import UNLIMITED, ZERO, Level, Tree
+
+REST = (UNLIMITED, UNLIMITED, UNLIMITED)
+
+
+@st.composite
+def trees(draw: st.DrawFn) -> Tree:
+    """Up to three levels of groups with teams beneath; caps and guarantees in whole CPUs, legal together."""
+    levels = [Level("root", cap=(draw(st.integers(4, 40)) * 1000, *REST))]
+    groups = draw(st.integers(1, 3))
+    for g in range(groups):
+        above = draw(st.sampled_from(["root", *(f"g{i}" for i in range(g))]))
+        cap = draw(st.one_of(st.just(UNLIMITED), st.integers(1, 40).map(lambda n: n * 1000)))
+        levels.append(Level(f"g{g}", above, draw(st.integers(1, 3)), (cap, *REST)))
+    by_name = {level.name: level for level in levels}
+
+    def room(level: Level) -> int:
+        """CPUs of guarantee that can still be given beneath a level."""
+        found, place = UNLIMITED, level
+        while True:
+            given_out = sum(v.guarantee[0] for v in levels if v.team and _under(by_name, v, place))
+            found = min(found, place.cap[0] - given_out)
+            if not place.parent:
+                return found // 1000
+            place = by_name[place.parent]
+
+    for t in range(draw(st.integers(2, 5))):
+        above = draw(st.sampled_from([f"g{i}" for i in range(groups)]))
+        team = Level(f"t{t}", above, draw(st.integers(1, 4)), (draw(st.sampled_from([UNLIMITED, 3000, 9000])), *REST),
+                     team=True)
+        own = min(draw(st.integers(0, 6)), room(by_name[above]), team.cap[0] // 1000)
+        if own > 0:
+            team.guarantee = (own * 1000, 0, UNLIMITED, UNLIMITED)
+        levels.append(team)
+        by_name[team.name] = team
+    with_teams = {v.parent for v in levels}
+    return Tree([v for v in levels if v.team or v.name in with_teams])
+
+
+def _under(by_name: dict[str, Level], level: Level, place: Level) -> bool:
+    while level.parent:
+        level = by_name[level.parent]
+        if level is place:
+            return True
+    return False
+
+
+work = st.lists(st.tuples(st.integers(0, 4), st.integers(1, 8), st.sampled_from([1.0, 1.0, 2.0]),
+                          st.sampled_from(["production", "normal", "normal", "low"]),
+                          st.sampled_from(["array", "array", "standing", "group"]), st.booleans()),
+                min_size=1, max_size=12)
+
+
+def used_from_scratch(tree: Tree, bed: Bed) -> dict[str, int]:
+    """Thousandths of CPUs beneath each level, from what runs."""
+    used = dict.fromkeys(tree.by_name, 0)
+    for attempt in bed.running():
+        name = attempt.spec.team
+        while name:
+            used[name] += round(attempt.spec.cpus * 1000)
+            name = tree.by_name[name].parent
+    return used
+
+
+@settings(max_examples=250, deadline=None, derandomize=True)
+@given(trees(), work, st.integers(1, 4), st.randoms(use_true_random=False))
+def test_caps_hold_and_no_room_is_wasted(tree: Tree, jobs: list, machines: int, chance) -> None:
+    bed = Bed(tree, machines, 8.0)
+    teams = sorted(tree.leaves)
+    for team, tasks, cpus, rank, kind, ends in jobs:
+        bed.submit(teams[team % len(teams)], tasks, cpus, rank, kind)
+        for _ in range(30):
+            moved = bed.pass_()
+            used = used_from_scratch(tree, bed)
+            for level in tree.levels:
+                assert used[level.name] <= level.cap[0], (level.name, used)
+            if moved == (0, 0):
+                break
+        else:
+            raise AssertionError("passes do not come to an end")
+        for chunk in bed.state.chunks.values():
+            # What could start without stopping anything must have been started.
+            if not chunk.pending or (chunk.spec.gang and chunk.attempts):
+                continue  # the rest of a gang that lost a task ends by itself on real machines
+            whole = chunk.spec.gang or (chunk.spec.service and not chunk.attempts)
+            need = round(chunk.spec.cpus * 1000) * (len(chunk.pending) if whole else 1)
+            path = [tree.levels[i] for i in tree.path(chunk.spec.team)]
+            free = [w.free()[0] for w in bed.state.workers.values()]
+            fits = max(free) >= chunk.spec.cpus if not chunk.spec.gang else \
+                sum(int(f // chunk.spec.cpus) for f in free) >= len(chunk.pending)
+            room = all(used[level.name] + need <= level.cap[0] for level in path)
+            assert not (fits and room), (chunk.uid, chunk.spec, used, free)
+        if ends and bed.running():
+            bed.finish(chance.choice(sorted(bed.running(), key=lambda a: a.name)))
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(trees(), st.integers(0, 4), st.integers(1, 6))
+def test_borrowed_share_is_back_within_one_pass(tree: Tree, owner: int, wanted: int) -> None:
+    teams = sorted(tree.leaves)
+    name = teams[owner % len(teams)]
+    guarantee = tree.by_name[name].guarantee[0] // 1000
+    cpus = max(1, tree.by_name["root"].cap[0] // 1000)
+    bed = Bed(tree, 1, float(cpus))
+    for other in teams:
+        if other != name:
+            bed.submit(other, 60)
+    bed.pass_()
+    bed.submit(name, wanted)
+    bed.pass_()  # whatever must stop for it is stopped in this one
+    bed.pass_()
+    mine = [a for a in bed.running() if a.spec.team == name]
+    assert len(mine) >= min(wanted, guarantee), (guarantee, used_from_scratch(tree, bed))
+
+
+def exact(amount: int, wants: list[tuple[int, int]]) -> list[Fraction]:
+    """Weighted max-min by progressive filling, in fractions."""
+    found = [Fraction(0)] * len(wants)
+    left, open_ = Fraction(amount), [i for i, (_, most) in enumerate(wants) if most > 0]
+    while open_ and left > 0:
+        weight = sum(wants[i][0] for i in open_)
+        step = min(left / weight, *((wants[i][1] - found[i]) / wants[i][0] for i in open_), left / weight)
+        for i in open_:
+            found[i] += step * wants[i][0]
+        left -= step * weight
+        open_ = [i for i in open_ if found[i] < wants[i][1]]
+    return found
+
+
+shares = st.lists(st.tuples(st.integers(1, 5), st.integers(0, 50)), min_size=1, max_size=6)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.integers(0, 120), shares)
+def test_fill_is_weighted_max_min(amount: int, wants: list[tuple[int, int]]) -> None:
+    found, reference = fill(amount, wants), exact(amount, wants)
+    assert sum(found) == min(amount, sum(most for _, most in wants))
+    assert all(abs(f - r) < len(wants) for f, r in zip(found, reference, strict=True)), (found, reference)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.integers(0, 120), st.lists(st.tuples(st.integers(1, 5), st.integers(0, 20), st.integers(0, 50)), min_size=1,
+                                     max_size=6))
+def test_guarantees_come_before_lending(amount: int, children: list[tuple[int, int, int]]) -> None:
+    found = divide(amount, children)
+    own = [min(guarantee, need) for _, guarantee, need in children]
+    assert sum(found) == min(amount, sum(need for _, _, need in children))
+    if sum(own) <= amount:
+        assert all(f >= o for f, o in zip(found, own, strict=True))
+
+
+#: most by which placement differs from the exact division, in tasks: tasks are whole, at each of two levels
+FAIR_WITHIN = 2
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(1, 4), st.lists(st.tuples(st.integers(1, 4), st.integers(0, 30)), min_size=1,
+                                                      max_size=3)), min_size=2, max_size=3), st.integers(1, 40))
+def test_placement_divides_fairly_between_siblings(groups: list, cpus: int) -> None:
+    levels, demands = [], []
+    for g, (weight, leaves) in enumerate(groups):
+        levels.append(Level(f"g{g}", "", weight))
+        levels += [Level(f"g{g}t{i}", f"g{g}", w, team=True) for i, (w, _) in enumerate(leaves)]
+        demands.append([most for _, most in leaves])
+    bed = Bed(Tree(levels), 1, float(cpus))
+    for g, (_, leaves) in enumerate(groups):
+        for i, (_, most) in enumerate(leaves):
+            if most:
+                bed.submit(f"g{g}t{i}", most)
+    bed.pass_()
+    parts = exact(cpus, [(weight, sum(d)) for (weight, _), d in zip(groups, demands, strict=True)])
+    for g, (_, leaves) in enumerate(groups):
+        for i, part in enumerate(_scaled(parts[g], leaves)):
+            got = sum(a.spec.team == f"g{g}t{i}" for a in bed.running())
+            assert abs(got - part) <= FAIR_WITHIN, (g, i, got, float(part))
+
+
+def _scaled(amount: Fraction, leaves: list[tuple[int, int]]) -> list[Fraction]:
+    """The exact division of a fraction."""
+    whole = amount.denominator
+    return [f / whole for f in exact(amount.numerator, [(w, most * whole) for w, most in leaves])]
+
+
+def test_amounts_are_never_negative() -> None:
+    assert Tree([Level("t", team=True)]).levels[0].guarantee == ZERO
