Usage of levels recorded and plotted; a service is made room for by several shards at once

Change: `quinceslip quota record` and `quota plot` (matplotlib, extra `plots`, never loaded by controllers). Holders stop what they can for a claim of another shard and keep that room until it is given; of two claims the one that rests on a guarantee comes first, in every shard alike.

`quota show` is checked against a real process on loopback; 14 wrong trees are named.

--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -67,6 +67,18 @@
     show.add_argument("--from", dest="address", required=True, metavar="ADDRESS", help="a controller's api_addr")
     show.add_argument("--json", action="store_true", help="one JSON object instead of a table")
     show.set_defaults(act=quota_show)
+    record = parts.add_parser("record", help="write samples of the tree while a run goes on")
+    record.add_argument("--from", dest="address", required=True, action="append", metavar="ADDRESS",
+                        help="a controller's api_addr; give it once for each controller")
+    record.add_argument("--every", type=float, default=1.0, metavar="SECONDS")
+    record.add_argument("--for", dest="length", type=float, default=60.0, metavar="SECONDS")
+    record.add_argument("-o", "--output", type=Path, required=True, metavar="FILE")
+    record.set_defaults(act=quota_record)
+    plot = parts.add_parser("plot", help="one HTML page of such samples (needs requirements-plots.txt)")
+    plot.add_argument("file", type=Path, metavar="FILE")
+    plot.add_argument("-o", "--output", type=Path, required=True, metavar="FILE")
+    plot.add_argument("--resource", default="cpus")
+    plot.set_defaults(act=quota_plot)
     bench = parts.add_parser("bench", help="what a pass costs with and without a tree, in one run")
     bench.add_argument("--leaves", type=int, default=5000)
     bench.add_argument("--machines", type=int, default=300)
@@ -88,6 +100,20 @@
     return 0
 
 
+def quota_record(arguments: argparse.Namespace) -> int:
+    from quinceslip.quota.commands import record_to
+
+    print(record_to(arguments.output, arguments.address, arguments.every, arguments.length))
+    return 0
+
+
+def quota_plot(arguments: argparse.Namespace) -> int:
+    from quinceslip.quota.plots import write_page
+
+    print(write_page(arguments.file, arguments.output, arguments.resource))
+    return 0
+
+
 def quota_bench(arguments: argparse.Namespace) -> int:
     from quinceslip.quota.commands import bench_lines
 
--- a/quinceslip/quota/commands.py
+++ b/quinceslip/quota/commands.py
@@ -15,6 +15,7 @@
 from quinceslip.quota.config import SECTION, load_tree
 from quinceslip.quota.grants import GUARDS
 from quinceslip.quota.model import STEPS, explore
+from quinceslip.quota.plots import record
 from quinceslip.quota.show import table
 
 TIMEOUT_S = 5.0
@@ -80,6 +81,16 @@
     yield from table(found["levels"])
 
 
+def record_to(path: Path, addresses: list[str], every_s: float, for_s: float) -> str:
+    """Samples of all the controllers named, until the time is over."""
+    if not 0.05 <= every_s <= 3600 or not 0 < for_s <= 30 * 86400:
+        raise SettingsError(f"--every {every_s:g} --for {for_s:g}: must be 0.05 to 3600, and up to 30 days")
+    for address in addresses:
+        fetch(address)  # one that gives none is said at once
+    with path.open("w", encoding="utf-8") as out:
+        return f"{path}: {record(fetch, addresses, every_s, for_s, out)} samples"
+
+
 def run_model(arguments: argparse.Namespace) -> tuple[bool, list[str]]:
     """Whether the model says what it should (a breach only without a guard), and what it found."""
     only = frozenset(word for word in arguments.only.split(",") if word)
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -52,6 +52,16 @@
     count: int
 
 
+@dataclass(slots=True)
+class Kept:
+    """Room that was made for a job and that others leave to it."""
+
+    team: str
+    room: Amounts
+    until_us: int
+    here: bool  # the job waits in this shard; else its shard gets the room as a grant
+
+
 class Gate:
     def __init__(self, tree: Tree, purses: Purses, state: ShardState) -> None:
         self.tree = tree
@@ -70,7 +80,7 @@
         self.capacity: Amounts = ZERO
         self.refused: dict[int, Amounts] = {}  # levels that had no room in this pass, and for how much
         self.promised: dict[int, Amounts] = {}  # room that claims of this pass have been made
-        self.kept: dict[str, tuple[str, Amounts, int]] = {}  # by job: its team, room made for it, and until when
+        self.kept: dict[str, Kept] = {}  # by job: room that was made for it
         self.victims: list[Attempt] | None = None  # what could be stopped, in order, for this pass
         self.entered = 0  # tasks counted so far
         self.stopped = 0  # tasks told to make room for others' quota, for tests and the log
@@ -83,8 +93,7 @@
             attempt.counted = task_amounts(attempt.spec)
             self.entered += 1
             if attempt.uid in self.kept:
-                team, room, until_us = self.kept[attempt.uid]
-                self.kept[attempt.uid] = (team, positive(add(room, attempt.counted, -1)), until_us)
+                self.release(attempt.uid, attempt.counted)
             self._count(self.use, path, attempt.counted, 1)
             self.teams.setdefault(attempt.spec.team, {})[attempt] = None
 
@@ -188,11 +197,17 @@
         it, and the two would stop each other for ever.
         """
         total = ZERO
-        for other, (team, room, _) in self.kept.items():
-            if other != uid and level in self.tree.path(team):
-                total = add(total, room)
+        for other, kept in self.kept.items():
+            if other != uid and level in self.tree.path(kept.team):
+                total = add(total, kept.room)
         return total
 
+    def release(self, uid: str, amounts: Amounts) -> None:
+        """So much of what was kept for a job has been taken."""
+        kept = self.kept.get(uid)
+        if kept is not None:
+            kept.room = positive(add(kept.room, amounts, -1))
+
     def waits_for_round(self) -> bool:
         """Whether the last refusal was only for the sake of others in this round, with another to come."""
         return self.last_held_back
@@ -233,7 +248,7 @@
         now_us = self.state.ctx.now_us
         waiting = {c.uid for c in queue} if self.kept else set()
         self.kept = {uid: kept for uid, kept in self.kept.items()
-                     if any(kept[1]) and now_us < kept[2] and uid in waiting}
+                     if any(kept.room) and now_us < kept.until_us and (uid in waiting or not kept.here)}
         self.demand.clear()
         for chunk in queue:
             chunk.held = False
@@ -414,21 +429,24 @@
         `rests_on` and `lacking` are another shard's, where the claim is from there.
         """
         made = False
+        # Other shards may have the rest of it: what one alone cannot make room for must not wait for ever.
+        partly = lacking is not None or (count > 1 and machine is None and self._others_hold(spec.team))
         for _ in range(times_):
             short = self.lacking(spec, count) if lacking is None else lacking
-            if short and not self.reclaim(spec, short, self.search(spec, count, rests_on), machine):
+            if short and not self.reclaim(spec, short, self.search(spec, count, rests_on), machine, partly):
                 return made
             made = True
             room = times(task_amounts(spec), count)
             self._count(self.promised, self.tree.path(spec.team), room, 1)
-            if short and lacking is None:
-                known = self.kept[spec.uid][1] if spec.uid in self.kept else ZERO
-                self.kept[spec.uid] = (spec.team, add(known, room), self.state.ctx.now_us + KEPT_US)
+            if short:
+                kept = self.kept.setdefault(spec.uid, Kept(spec.team, ZERO, 0, lacking is None))
+                kept.room = room if partly else add(kept.room, room)
+                kept.until_us = self.state.ctx.now_us + KEPT_US
         return made
 
     def reclaim(self, spec: m.JobSpec, lacking: dict[int, Amounts], search: "Search",
-                machine: Worker | None = None) -> bool:
-        """Stop what gives way until the levels have that much room; all of it or nothing is stopped.
+                machine: Worker | None = None, partly: bool = False) -> bool:
+        """Stop what gives way until the levels have that much room; all of it or nothing, unless `partly`.
 
         With a machine, only what runs there, and it must have room for a task afterwards.
         """
@@ -455,7 +473,7 @@
                         left[level] = positive(add(left[level], victim.counted, -1))
                         if not any(left[level]):
                             del left[level]
-        if left or (machine is not None and not fits(free, spec)):
+        if (left and not (partly and chosen)) or (machine is not None and not fits(free, spec)):
             return False
         for victim in chosen:
             self.stopped += 1
--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -231,11 +231,10 @@
         asking = {shard: record for shard, record in self.ctx.view.by_kind[keys.WANT].items() if int(shard) != index}
         if not asking:
             return
-        mine = min((c.order for c in gate.claims.values()), default=None)
         owner = self.ownership.condition(index)
         moves: list[tuple[Purse, Move]] = []
 
-        def give(shard: str, key: str, lack: Amounts, first: bool) -> tuple[int, Amounts] | None:
+        def give(shard: str, key: str, lack: Amounts, wanted: Wanted | None) -> tuple[int, Amounts] | None:
             """What is still lacking of a cap, and its level."""
             place = self.purses.place(key)
             if place is None or len(moves) >= self._most():
@@ -246,7 +245,10 @@
             else:
                 # A claim of ours that comes first keeps what it needs; of two, only one can wait.
                 purse, used = self.purses.cap(level), gate.use.get(level, ZERO)
-                used = used if first else add(used, self._claimed(gate, level))
+                for claim in gate.claims.values():
+                    if wanted is not None and level in self.tree.path(claim.team) and \
+                            self._precedes(gate, claim, wanted):
+                        used = add(used, claim.need)
             # More than is asked for, where more is idle: so a burst costs few asks.
             spare = add(purse.held(index), used, -1)
             more = [max(asked, idle // AHEAD) if asked else 0 for asked, idle in zip(lack, spare, strict=True)]
@@ -254,29 +256,30 @@
             if move is not None:
                 moves.append((purse, move))
                 lack = positive(add(lack, move.outgoing[index], -1))
+                gate.release(wanted.order[3] if wanted is not None else "", move.outgoing[index])
             return (level, lack) if kind == keys.CAP and any(lack) else None
 
         wants = [(wanted, shard) for shard, record in asking.items() for wanted in record.claims]
         for wanted, shard in sorted(wants, key=lambda w: w[0].order):
-            first = mine is None or tuple(wanted.order) < mine
-            left = [give(shard, key, _four(lack), first) for key, lack in wanted.lacks.items()]
+            left = [give(shard, key, _four(lack), wanted) for key, lack in wanted.lacks.items()]
             rest = {level: least(lack, wanted.unit) for level, lack in (e for e in left if e is not None)}
-            if rest and not moves and not wanted.order[0] and self._our_turn(index, int(shard), rest):
+            if rest and not wanted.order[0] and self._our_turn(index, int(shard), rest):
                 self._make_room(gate, wanted, rest)
         for shard, record in asking.items():
             for key, lack in record.own.items():
-                give(shard, key, _four(lack), True)
+                give(shard, key, _four(lack), None)
         if moves:
             self._send(moves, Urgency.ROSTER)
 
-    @staticmethod
-    def _claimed(gate: Gate, level: int) -> Amounts:
-        """What the claims of a shard need beneath a level."""
-        total = ZERO
-        for claim in gate.claims.values():
-            if level in gate.tree.path(claim.team):
-                total = add(total, claim.need)
-        return total
+    def _precedes(self, gate: Gate, claim: Claim, wanted: Wanted) -> bool:
+        """Which of two claims comes first, the same in every shard: a guarantee, then the order of claims."""
+        parting = self.tree.parting(claim.team, wanted.team)
+        if parting is not None:
+            mine = parting[0] in gate.rests_on(claim.spec, claim.count)
+            theirs = self.tree.levels[parting[1]].name in wanted.rests_on
+            if mine != theirs:
+                return mine
+        return claim.order < wanted.order
 
     def _our_turn(self, index: int, asker: int, rest: dict[int, Amounts]) -> bool:
         """Holders are asked to stop work one after the other, the largest first: all at once is too much."""
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -10,7 +10,10 @@
 
 from quinceslip.protocol import frames
 from quinceslip.protocol import messages as m
-from quinceslip.protocol.settings import SettingsError, load_settings, load_tuning
+from quinceslip.protocol.settings import SettingsError, Team, load_settings, load_tuning, read_operator_file
+from quinceslip.quota.config import load_tree
+from quinceslip.quota.plots import merged
+from quinceslip.quota.tree import Tree
 from tests.world import job_spec
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -88,6 +91,73 @@
     assert run("check", "--config", str(tmp / "none.toml")).returncode == 2
 
 
+TREE = """
+[quota]
+version = 1
+[quota guild]
+cpus = 10
+cpus_max = 20
+[quota member]
+parent = guild
+cpus = 6
+teams = team
+[quota other]
+parent = guild
+cpus = 4
+memory_gb_max = 8
+teams = spare
+"""
+
+
+def _tree(tmp: Path) -> None:
+    teams = [Team("team", cpus_max=16.0), Team("spare"), Team("third")]
+    path = tmp / "tree.ini"
+
+    def load(text: str) -> object:
+        path.write_text(text)
+        return load_tree(read_operator_file(path), teams, str(path))
+
+    tree = load(TREE)
+    assert isinstance(tree, Tree) and [tree.levels[i].name for i in tree.path("team")] == ["team", "member", "guild"]
+    assert tree.by_name["team"].cap[0] == 16_000 and tree.by_name["other"].cap[2] == 8_000
+    for old, new, named in (
+            ("version = 1", "", r"\[quota\] version"), ("version = 1", "version = 1.5", "version = 1.5"),
+            ("cpus = 6", "cpus = 11", r"\[quota member\] cpus = 11: .* over that of guild"),
+            ("cpus = 4", "cpus = 5", r"\[quota guild\] cpus = 10: .* 11 together"),
+            ("cpus = 10", "cpus = 21", r"\[quota guild\] cpus = 21: .* over its own cap"),
+            ("teams = team", "teams = nobody", r"\[quota member\] teams = nobody: unknown team nobody"),
+            ("teams = spare", "teams = spare, team", r"\[quota other\] teams = .*team has two parents"),
+            ("cpus_max = 20", "cpus_max = 20\nparent = member", r"parent = .*circle: .*guild"),
+            ("parent = guild\ncpus = 6", "parent = nowhere\ncpus = 6", r"\[quota member\] parent = nowhere"),
+            ("parent = guild\ncpus = 6", "parent = third\ncpus = 6", r"parent = third: third is a team"),
+            ("teams = spare", "", r"\[quota other\]: other is neither a team"),
+            ("cpus_max = 20", "cpus_max = much", r"\[quota guild\] cpus_max = much: must be a number"),
+            ("cpus_max = 20", "cpus_most = 20", r"\[quota guild\] cpus_most = 20: unknown key"),
+            ("cpus = 4", "weight = 0", r"\[quota other\] weight = 0: must be a number")):
+        assert old in TREE
+        with pytest.raises(SettingsError, match=named):
+            load(TREE.replace(old, new, 1))
+    with pytest.raises(SettingsError, match="two parents"):
+        load(TREE + "[quota team]\nparent = other\n")
+    assert load("") is not None  # the platform's limit of a team is a tree of its own
+    from quinceslip.cli import main
+
+    path.write_text(TREE)
+    assert main(["quota", "check", str(path)]) == 0
+    path.write_text(TREE.replace("cpus = 6", "cpus = 60"))
+    assert main(["quota", "check", str(path)]) == main(["quota", "show", "--from", "nowhere"]) == 2
+    samples = tmp / "usage.jsonl"
+    amounts = {"cpus": 2.0}
+    level = {"level": "guild", "depth": 0, "guaranteed": {}, "cap": {"cpus": 4.0}, "used": amounts, "waiting": amounts,
+             "lent": {}, "borrowed": {}}
+    samples.write_text("\n".join(json.dumps({"at_s": t, "levels": merged([{"levels": [level]}] * 2)}) for t in (0, 1)))
+    assert json.loads(samples.read_text().splitlines()[0])["levels"][0]["used"] == {"cpus": 4.0}
+    assert main(["quota", "plot", str(samples), "-o", str(tmp / "usage.html")]) == 0
+    assert "<svg" in (tmp / "usage.html").read_text()
+    samples.write_text("junk")
+    assert main(["quota", "plot", str(samples), "-o", str(tmp / "usage.html")]) == 2
+
+
 def _frames(tmp: Path) -> None:
     beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6], 7)],
                        [("aisle-mid", "erie-east", True, 12_000_000)])
@@ -123,4 +193,5 @@
     import tempfile
 
     with tempfile.TemporaryDirectory() as folder:
-        {"settings": _settings, "command": _command, "frames": _frames, "jobs": _jobs}[what](Path(folder))
+        judged = {"settings": _settings, "command": _command, "frames": _frames, "jobs": _jobs, "tree": _tree}
+        judged[what](Path(folder))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -126,7 +126,10 @@
         # So little memory that no more than 64 connections are served at once.
         config.write_text(settings_text(api=port, peer=_free_port(), cloud=outside.port, state=outside.port)
                           + "[facts.limits]\nmemory_mb = 45.0\n")
-        process = subprocess.Popen([sys.executable, str(ROOT / "run.py"), "run", "--config", str(config)],
+        tree = Path(folder) / "quotas.ini"
+        tree.write_text("[quota]\nversion = 1\n[quota guild]\ncpus_max = 8\nteams = team\n")
+        process = subprocess.Popen([sys.executable, str(ROOT / "run.py"), "run", "--config", str(config),
+                                    "--operator-config", str(tree)],
                                    env={**os.environ, "LOG_LEVEL": "error"})
         try:
             _serve(process, port)
@@ -153,6 +156,7 @@
     assert _ask(port, "POST", "/v1/jobs", job_spec("req-000009", vcpus=99.0))[0] == 422
     assert _ask(port, "GET", "/v1/jobs/req-000404")[0] == 404
     assert _ask(port, "GET", "/elsewhere")[0] == 404
+    assert "over the limit of guild" in _ask(port, "POST", "/v1/jobs", job_spec("req-000010", vcpus=9.0))[1]["error"]
     assert _ask(port, "DELETE", f"/v1/jobs/{uid}")[0] == 405
     assert _ask(port, "PUT", "/hello", b"{}")[0] == 405
     assert _ask(port, "POST", "/hello", b'{"berth":3}')[0] == 400
@@ -194,6 +198,10 @@
         time.sleep(0.2)
     assert _ask(port, "GET", f"/v1/jobs/{uid}")[1]["status"] == "done"
     assert _ask(port, "POST", f"/v1/jobs/{uid}/cancel")[1]["status"] == "done"
+    shown = subprocess.run([sys.executable, str(ROOT / "run.py"), "quota", "show", "--from", f"127.0.0.1:{port}",
+                            "--json"], capture_output=True, check=True, timeout=30).stdout
+    guild = json.loads(shown)["levels"][0]
+    assert guild["level"] == "guild" and guild["cap"] == {"cpus": 8.0} and guild["held"], guild
     for connection in slow:
         connection.close()
     assert process.poll() is None
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,6 +6,7 @@
 `broken RULE`, which shows that the checker catches the breach of that rule.
 """
 
+import json
 import operator
 import shlex
 import tracemalloc
@@ -31,6 +32,7 @@
 from quinceslip.coordination.state import Chunk
 from quinceslip.protocol import messages as m
 from quinceslip.quota.model import explore
+from quinceslip.quota.plots import merged
 from quinceslip.storage import tasksets
 from quinceslip.storage.records import JobRecord, View
 from quinceslip.transport.clients import Budget, Pool
@@ -177,6 +179,21 @@
         if alive:
             self.w().random.choice(alive).user(verb, uid, heard, spec)
 
+    def on_sample(self, args: list[str], named: dict[str, Any]) -> None:
+        """sample FILE every=S until=T: what `quota record` would write of all controllers"""
+        world = self.w()
+        pages: list[Any] = []
+        for host in world.hosts.values():
+            host.ask("quota", lambda status, body: pages.append(body))
+
+        def write() -> None:
+            with open(args[0], "a", encoding="utf-8") as out:
+                out.write(json.dumps({"at_s": world.now_us / US, "levels": merged(pages)}) + "\n")
+
+        world.after(20_000, write)
+        if world.now_us < named["until"] * US:
+            world.after(named["every"] * US, lambda: self.on_sample(args, named))
+
     def on_submit(self, args: list[str], named: dict[str, Any]) -> None:
         world, uid = self.w(), args[0]
         names = {"tasks": "picks", "cpus": "vcpus", "team": "crew", "memory": "memGb", "spot": "loaners",
--- a/tests/world.py
+++ b/tests/world.py
@@ -556,6 +556,9 @@
         decoded = None if spec is None else msgspec.json.decode(json.dumps(spec), type=m.JobSpec)
         self._request(lambda n: fx.UserRequest(n, verb, uid, decoded), answer)
 
+    def ask(self, question: str, answer: Callable[[int, Any], None]) -> None:
+        self._request(lambda n: fx.Asked(n, question), answer)
+
 
 def job_spec(uid: str, **changes: Any) -> dict[str, Any]:
     spec = {"uid": uid, "lane": "batch", "crew": "team", "shape": "array", "rank": "normal", "picks": 1,
