The gate in four files: counting, the order of a pass, who gives way, and what is asked

Change: `meter`, `rounds`, `search` and `gate`, each with one matter; no behaviour changes. A test makes sure that nothing of quotas is imported where they are off.

--- /dev/null
+++ b/quinceslip/quota/rounds.py
@@ -0,0 +1,171 @@
+"""The order of a pass: each level within its part first, then what is left over. See `fair` for the arithmetic."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import groupby, islice
+
+from quinceslip.coordination.state import Chunk, ShardState, Worker
+from quinceslip.quota.fair import divide
+from quinceslip.quota.meter import Meter
+from quinceslip.quota.purses import Purses
+from quinceslip.quota.tree import (
+    KINDS,
+    UNLIMITED,
+    ZERO,
+    Amounts,
+    Tree,
+    add,
+    least,
+    positive,
+    task_amounts,
+    times,
+    within,
+)
+
+#: shares are compared in parts of what a parent has
+ONE = 1 << 30
+#: of so many waiting chunks at most the fairest is sought for one place; a whole pass looks at all
+MOST_FOR_ONE_PLACE = 64
+
+
+class Rounds(Meter):
+    def __init__(self, tree: Tree, purses: Purses, state: ShardState) -> None:
+        super().__init__(tree, purses, state)
+        self.targets: dict[int, Amounts] = {}  # of the present round of a pass
+        self.held_back = False  # by a target, not by a limit
+        self.demand: dict[int, Amounts] = {}  # of waiting work, by level with a guarantee
+        self.capacity: Amounts = ZERO
+
+    def begin(self, queue: Sequence[Chunk]) -> None:
+        """A whole pass begins."""
+
+    def rounds(self, queue: Sequence[Chunk], workers: Sequence[Worker]) -> Iterator[list[Chunk]]:
+        """The queue in rounds: priority by priority; first each level within its part, then what is left over.
+
+        Without a second round, room would stay empty that nobody entitled to it can use.
+        """
+        self.settle()
+        self.begin(queue)
+        sizes = [w.type for w in workers if w.type is not None]
+        self.capacity = (int(sum(t.cpus for t in sizes) * 1000), int(sum(t.gpus for t in sizes) * 1000),
+                         int(sum(t.memory_gb for t in sizes) * 1000), UNLIMITED)
+        self.demand.clear()
+        for chunk in queue:
+            chunk.held = False
+            path = self.tree.guaranteed.get(chunk.spec.team)
+            if path:
+                self.count(self.demand, path, times(task_amounts(chunk.spec), len(chunk.pending)), 1)
+        for _, group in groupby(queue, key=lambda c: c.spec.priority):
+            chunks = list(group)
+            self.held_back, self.targets = False, {}
+            least_cpus = min(c.spec.cpus for c in chunks)
+            # Where nothing is free, nothing is to be divided.
+            if self._free(workers, least_cpus) and len({c.spec.team for c in chunks}) > 1:
+                self.targets = self._targets(chunks)
+                # Some have more than their part by now, and keep it: what is left goes first to those
+                # that their guarantee gives it to.
+                yield self._fairest(chunks)
+                yield from self._lend(chunks, workers, least_cpus)
+                chunks = [c for c in chunks if c.pending] if self.held_back else []
+                self.targets = {}
+            if chunks:
+                yield chunks
+
+    @staticmethod
+    def _free(workers: Sequence[Worker], cpus: float) -> bool:
+        return any(w.free()[0] >= cpus for w in workers)
+
+    def _lend(self, chunks: Sequence[Chunk], workers: Sequence[Worker], least_cpus: float) -> Iterator[list[Chunk]]:
+        """What whole tasks left of the parts: one task at a time to whoever has borrowed least.
+
+        Turn by turn twice as many, so that room which only few can use is given out in few turns.
+        """
+        most = 1
+        while self.held_back and self._free(workers, least_cpus):
+            rest = self._fairest(c for c in chunks if c.pending and not c.held)
+            self.held_back = False
+            self.targets = {self.tree.path(c.spec.team)[0]: add(self.use.get(self.tree.path(c.spec.team)[0], ZERO),
+                                                                task_amounts(c.spec), most)
+                            for c in reversed(rest) if self.tree.path(c.spec.team)}
+            before = self.entered
+            yield rest
+            if self.entered == before:
+                self.held_back = True
+                return
+            most *= 2
+
+    def _targets(self, chunks: Sequence[Chunk]) -> dict[int, Amounts]:
+        """What each level should use after this round: use so far, and a fair part of what is left."""
+        waiting: dict[str, Amounts] = {}
+        for chunk in chunks:
+            team = chunk.spec.team
+            waiting[team] = add(waiting.get(team, ZERO), task_amounts(chunk.spec), len(chunk.pending))
+        need: dict[int, Amounts] = {}
+        for team, amounts in waiting.items():
+            self.count(need, self.tree.path(team), amounts, 1)
+        # Children come after their parents: what a child's own limit keeps from it is no need of its parent.
+        for level in sorted(need, reverse=True):
+            beneath = [c for c in self.tree.levels[level].children if c in need]
+            total = self.use.get(level, ZERO)
+            for child in beneath:
+                total = add(add(total, need[child]), self.use.get(child, ZERO), -1)
+            if not beneath:
+                total = add(total, need[level])
+            need[level] = _shrunk(total, self.limit(level))
+        targets: dict[int, Amounts] = {}
+        tops = [level for level in need if not self.tree.levels[level].parent]
+        self._divide(tops, self.capacity, ZERO, need, targets)
+        return targets
+
+    def _divide(self, siblings: list[int], capacity: Amounts, taken: Amounts, need: dict[int, Amounts],
+                targets: dict[int, Amounts]) -> None:
+        """Divide a parent's capacity, less what others beneath it use, between the siblings that want more."""
+        room = positive(add(capacity, taken, -1))
+        wants = [(self.tree.levels[level].weight, _share(self.own(level), room), _share(need[level], room))
+                 for level in siblings]
+        for level, part, (_, _, wanted) in zip(siblings, divide(ONE, wants), wants, strict=True):
+            scaled = need[level] if part >= wanted else tuple(-(-n * part // wanted) for n in need[level])
+            targets[level] = (scaled[0], scaled[1], scaled[2], scaled[3])
+            children = [c for c in self.tree.levels[level].children if c in need]
+            if children:
+                used = self.use.get(level, ZERO)
+                for child in children:
+                    used = add(used, self.use.get(child, ZERO), -1)
+                # Of a resource that nothing bounds, no part is too large.
+                bounds = [part if whole < UNLIMITED else whole
+                          for part, whole in zip(targets[level], capacity, strict=True)]
+                self._divide(children, least(bounds, self.limit(level)), used, need, targets)
+
+    def for_one_place(self, queue: Sequence[Chunk]) -> list[Chunk]:
+        """Who may take a place that has just become free, first the one furthest below its part."""
+        first = list(islice((c for c in queue if not c.held), MOST_FOR_ONE_PLACE))
+        return self._fairest(first) if len({c.spec.team for c in first}) > 1 else first
+
+    def _fairest(self, chunks: Iterable[Chunk]) -> list[Chunk]:
+        """Priority first, then who has borrowed least, then first come, first served."""
+        return sorted(chunks, key=lambda c: (c.spec.priority, self.fair_key(c.spec.team), c.order()))
+
+    def fair_key(self, team: str) -> tuple[float, ...]:
+        """Who comes first where one place is free: from the root on, what is borrowed least for its weight."""
+        key: list[float] = []
+        for level in reversed(self.tree.path(team)):
+            own, used = self.own(level), self.use.get(level, ZERO)
+            key.append(float(not any(u < o < UNLIMITED for u, o in zip(used, own, strict=True))))
+            key.append(_share(positive(add(used, own, -1)), self.capacity) / self.tree.levels[level].weight)
+        return tuple(key)
+
+
+def _share(amounts: Sequence[int], of: Sequence[int]) -> int:
+    """The largest part that an amount takes of another, in parts of ONE."""
+    parts = [amounts[kind] * ONE // max(of[kind], 1) for kind in range(KINDS)
+             if of[kind] < UNLIMITED and amounts[kind] < UNLIMITED]
+    return max(parts, default=0)
+
+
+def _shrunk(amounts: Amounts, limit: Amounts) -> Amounts:
+    """As much of an amount as fits into a limit, all resources in proportion."""
+    if within(amounts, limit):
+        return amounts
+    whole, part = min(((a, most) for a, most in zip(amounts, limit, strict=True) if a > most),
+                      key=lambda pair: pair[1] / pair[0])
+    return (-(-amounts[0] * part // whole), -(-amounts[1] * part // whole), -(-amounts[2] * part // whole),
+            -(-amounts[3] * part // whole))
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -1,6 +1,7 @@
 """Bad input, by name: settings, command line, frames, and what users and workers may send."""
 
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -89,6 +90,13 @@
     good.write_text(settings_text())
     assert run("check", "--config", str(good)).returncode == 0
     assert run("check", "--config", str(tmp / "none.toml")).returncode == 2
+    # What is off is not imported.
+    script = ("import sys; from pathlib import Path; from quinceslip import service, subsystems; "
+              "from quinceslip.protocol.settings import load_settings, read_operator_file; "
+              f"found = subsystems.makers(load_settings(Path({str(good)!r})), read_operator_file(None)); "
+              "assert not found and not [m for m in sys.modules if m.startswith('quinceslip.quota')]")
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(map(str, (ROOT, ROOT / "target" / "deps")))}
+    subprocess.run([sys.executable, "-c", script], check=True, timeout=60, env=environment)
 
 
 TREE = """
