Filling an empty fleet for thousands of teams: machines are ordered once for a shape of tasks

Change: where quotas are on, the order of machines found for one shape of tasks serves the whole pass, the fairness of levels is found once for all teams beneath, and what a level has is noted once. Without quotas the path is as it was.

--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Iterable, Sequence
 
 from quinceslip.coordination.context import SECOND
@@ -31,6 +32,7 @@
         self.state = state
         self.ctx = state.ctx
         self.wait_s = {o.job_class: o.within_s for o in state.ctx.settings.facts.objectives if o.kind == "wait"}
+        self.orders: dict[tuple[object, ...], deque[Worker]] = {}  # machines for a shape of tasks, in this pass
         self.looked = 0  # workers looked at so far: the work of placement, for tests and profiles
 
     # Who may get what.
@@ -107,6 +109,7 @@
     def _pass(self, queue: list[Chunk], workers: list[Worker], whole: bool) -> None:
         if not queue:
             return
+        self.orders.clear()
         failed: Failed = {}
         least = min(c.spec.cpus for c in queue) - EPSILON
         roomy = [w for w in workers if w.type is not None and w.type.cpus - w.used_cpus >= least]
@@ -157,7 +160,7 @@
         aside = self._paused(chunk)
         stuck = False
         try:
-            for worker in self._by_preference(chunk, roomy, None):
+            for worker in self._preferred(chunk, roomy):
                 while chunk.pending and fits(worker.free(), spec):
                     if not self._allows(chunk, whole):
                         return
@@ -257,6 +260,23 @@
         found.sort(key=lambda f: f[0])
         return [worker for _, worker in found]
 
+    def _preferred(self, chunk: Chunk, workers: Iterable[Worker]) -> Iterable[Worker]:
+        """The same, found once a pass for all chunks of one shape where quotas give few tasks to many teams.
+
+        The machine that was best stays so as it fills up; the order of the others is that of the first look.
+        """
+        spec = chunk.spec
+        if self.state.quota is None or chunk.blamed:
+            return self._by_preference(chunk, workers, None)
+        shape = (spec.image, spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone, spec.spot,
+                 spec.service, spec.job_class)
+        order = self.orders.get(shape)
+        if order is None:
+            order = self.orders[shape] = deque(self._by_preference(chunk, workers, None))
+        while order and not fits(order[0].free(), spec):
+            order.popleft()
+        return order
+
     def _preference(self, worker: Worker, spec: m.JobSpec) -> tuple[float, ...]:
         """What comes before best fit. Smaller is better."""
         uncached = float(spec.image not in worker.images)
--- a/quinceslip/quota/rounds.py
+++ b/quinceslip/quota/rounds.py
@@ -142,15 +142,20 @@
 
     def _fairest(self, chunks: Iterable[Chunk]) -> list[Chunk]:
         """Priority first, then who has borrowed least, then first come, first served."""
-        return sorted(chunks, key=lambda c: (c.spec.priority, self.fair_key(c.spec.team), c.order()))
+        known: dict[int, tuple[float, float]] = {}  # teams share the levels above them
+        return sorted(chunks, key=lambda c: (c.spec.priority, self.fair_key(c.spec.team, known), c.order()))
 
-    def fair_key(self, team: str) -> tuple[float, ...]:
-        """Who comes first where one place is free: from the root on, what is borrowed least for its weight."""
-        key: list[float] = []
+    def fair_key(self, team: str, known: dict[int, tuple[float, float]]) -> tuple[tuple[float, float], ...]:
+        """From the root on: whether a level is within its guarantee, and what it borrows for its weight."""
+        key = []
         for level in reversed(self.tree.path(team)):
-            own, used = self.own(level), self.use.get(level, ZERO)
-            key.append(float(not any(u < o < UNLIMITED for u, o in zip(used, own, strict=True))))
-            key.append(_share(positive(add(used, own, -1)), self.capacity) / self.tree.levels[level].weight)
+            found = known.get(level)
+            if found is None:
+                own, used = self.own(level), self.use.get(level, ZERO)
+                beyond = not any(u < o < UNLIMITED for u, o in zip(used, own, strict=True))
+                borrowed = _share(positive(add(used, own, -1)), self.capacity) / self.tree.levels[level].weight
+                found = known[level] = (float(beyond), borrowed)
+            key.append(found)
         return tuple(key)
 
 
--- a/quinceslip/quota/tree.py
+++ b/quinceslip/quota/tree.py
@@ -72,14 +72,9 @@
     #: from this level to the root, as indices
     path: tuple[int, ...] = ()
     children: list[int] = field(default_factory=list)
-
-    @property
-    def capped(self) -> bool:
-        return min(self.cap) < UNLIMITED
-
-    @property
-    def guaranteed(self) -> bool:
-        return any(0 < a < UNLIMITED for a in self.guarantee)
+    #: whether any resource is capped, or guaranteed; the tree sets both
+    capped: bool = False
+    guaranteed: bool = False
 
 
 class Tree:
@@ -122,6 +117,8 @@
                     if given.guaranteed:
                         total = add(total, given.guarantee)
                 level.guarantee = least(total, (UNLIMITED,) * 4)
+            level.capped = min(level.cap) < UNLIMITED
+            level.guaranteed = any(0 < a < UNLIMITED for a in level.guarantee)
 
     def path(self, team: str) -> tuple[int, ...]:
         """The levels above a team and its own, leaf first; empty for a team that is not in the tree."""
