Quotas say in the log what they stop and move; a want record keeps to the size of a value

Need: operators saw tasks start again without the reason, and a deep tree with long names could ask for more than a value of the state service holds.

Change: what stops for a claim is logged at info, moves of grants and what came of them at debug; claims that do not fit a record wait until those before them are met.

--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -5,6 +5,7 @@
 keeper takes to the state service.
 """
 
+import logging
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -17,6 +18,8 @@
 from quinceslip.quota.search import Search, stopped_first
 from quinceslip.quota.tree import UNLIMITED, ZERO, Amounts, Tree, add, positive, task_amounts, times, within
 
+log = logging.getLogger(__name__)
+
 #: room that was made for a job is kept for it so long: what stops may have to save first
 KEPT_US = 10 * SECOND
 
@@ -222,6 +225,7 @@
         if (left and not (partly and chosen)) or (machine is not None and not fits(free, spec)):
             return False
         for victim in chosen:
+            log.info("%s makes room for %s, by quotas", victim.name, spec.uid)
             self.stopped += 1
             self.state.halt(victim, 0.0)
         return True
--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -11,6 +11,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+import msgspec
+
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.effects import NOT_SENT, Urgency
 from quinceslip.coordination.ownership import Ownership
@@ -114,6 +116,7 @@
         def done(status: int, failed: list[str]) -> None:
             certain = status in (200, 409, 429, 503, 400, NOT_SENT)
             outcome = "applied" if status == 200 else "failed" if certain else "open"
+            log.debug("grants of %s: %s", ", ".join(f"{p.key} {made.record.parts}" for p, made in moves), outcome)
             for purse, move in moves:
                 self.purses.changed(purse.key.split("/", 2)[2])
                 purse.answered(move, outcome)
@@ -200,6 +203,9 @@
         own = {purse.key: list(short) for purse, lack in self._own_lacks(index, gate).items()
                if any(short := self._beyond_pool(index, purse, lack))}
         record = WantRecord(wanted, dict(list(own.items())[:MOST_CLAIMS])) if wanted or own else None
+        most_bytes = self.ctx.settings.facts.state.value_kb * 1000
+        while record is not None and record.claims and len(msgspec.json.encode(record)) > most_bytes:
+            record.claims.pop()  # deep trees with long names: the rest comes when these are met
         key = keys.want_key(index)
         if self.ctx.view.by_kind[keys.WANT].get(str(index)) != record:
             conditions = {**self.ownership.condition(index), key: self.ctx.view.stamp(key)}
