A want record of which only the amounts change is not written again within two seconds

Change: while the same teams ask for the same purses, the record is written again after two seconds only; it goes at once when nothing is wanted.

--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -32,6 +32,8 @@
 TAKE_US = SECOND // 10
 #: asks, answers them, and settles no more often than this
 ASK_US = SECOND // 2
+#: a want record of which only the amounts change is not written again so soon
+AGAIN_US = 2 * SECOND
 #: claims in one want record; the rest come when these are met
 MOST_CLAIMS = 8
 #: what is taken or given at once beyond what is asked: this part of an equal share, or of what is idle
@@ -52,6 +54,7 @@
         self.next_take_us: dict[int, int] = {}
         self.next_ask_us = 0
         self.asked_us: dict[int, int] = {}  # shards whose want record this node knows, since when
+        self.asked_again_us: dict[int, int] = {}  # when an owned shard last wrote its want record
         self.unsettled: dict[Purse, None] = {}  # with a move whose outcome is open
         self.guaranteed = {level.index for level in tree.levels if level.guaranteed}
         self.writing: set[str] = set()  # keys of want and tree records on their way
@@ -207,7 +210,12 @@
         while record is not None and record.claims and len(msgspec.json.encode(record)) > most_bytes:
             record.claims.pop()  # deep trees with long names: the rest comes when these are met
         key = keys.want_key(index)
-        if self.ctx.view.by_kind[keys.WANT].get(str(index)) != record:
+        known: WantRecord | None = self.ctx.view.by_kind[keys.WANT].get(str(index))
+        soon = self.ctx.now_us < self.asked_again_us.get(index, 0) + AGAIN_US
+        if soon and record is not None and known is not None and _asks_for(record) == _asks_for(known):
+            return  # only the amounts are others: holders give by halves of what idles anyway
+        if known != record:
+            self.asked_again_us[index] = self.ctx.now_us
             conditions = {**self.ownership.condition(index), key: self.ctx.view.stamp(key)}
             self._write_once(key, conditions, record)
 
@@ -397,6 +405,11 @@
         return page(self.tree, self.purses, self.gates, after, self.trouble)
 
 
+def _asks_for(record: WantRecord) -> list[tuple[str, list[str]]]:
+    """Who asks, and of which purses."""
+    return [(wanted.team, sorted(wanted.lacks)) for wanted in record.claims]
+
+
 def _four(values: Sequence[int]) -> Amounts:
     return (values[0], values[1], values[2], values[3])
 
