--- a/quinceslip/coordination/balance.py
+++ b/quinceslip/coordination/balance.py
@@ -9,6 +9,11 @@
 import math
 from dataclasses import dataclass
 
+#: beyond this many times one, the inverse of a probability is as good as infinite
+NOBODY_WAITS = 1e30
+#: bisections end where the bounds differ by less than this part
+CLOSE = 1e-9
+
 
 @dataclass(frozen=True, slots=True)
 class Station:
@@ -23,14 +28,22 @@
 
 
 def wait_probability(slots: int, offered: float) -> float:
-    """Erlang C by the stable recurrence of Erlang B; no factorials, so hundreds of slots do."""
+    """Erlang C from Erlang B as the inverse of sum(m (m-1) ... (m-j+1) / a^j); no factorials.
+
+    Its terms fall from the m - a th on, or make the sum so large that nobody waits: a part of the
+    thousands of slots that a large shard has is looked at, where the usual recurrence takes each of them.
+    """
     if offered <= 0:
         return 0.0
     if offered >= slots:
         return 1.0
-    blocked = 1.0
-    for k in range(1, slots + 1):
-        blocked = offered * blocked / (k + offered * blocked)
+    total = term = 1.0
+    for k in range(slots, 0, -1):
+        term *= k / offered
+        total += term
+        if total > NOBODY_WAITS or (k < offered and term * offered < 1e-17 * total * (offered - k)):
+            break
+    blocked = 1.0 / total
     return slots * blocked / (slots - offered * (1.0 - blocked))
 
 
@@ -78,6 +91,8 @@
                 low = mid
             else:
                 high = mid
+            if high - low <= CLOSE * high:
+                break
         return (low + high) / 2 / total
 
     usable = [s for s in stations if s.capacity > 0]
@@ -91,6 +106,8 @@
             low = mid
         else:
             high = mid
+        if high - low <= CLOSE * high:
+            break
     found = [share_at(s, high) for s in stations]
     scale = sum(found)
     return [f / scale for f in found]
--- a/quinceslip/coordination/foresight.py
+++ b/quinceslip/coordination/foresight.py
@@ -18,8 +18,8 @@
 def foresee(chunks: list[Chunk], cpus_per_s: float, wall_us: int) -> None:
     """Set `late` of every waiting chunk, given the CPUs that tasks set free in a second."""
     ahead = 0.0  # CPUs that waiting tasks of higher priority will take first
-    for priority in sorted({c.spec.priority for c in chunks}):
-        rest = [c for c in chunks if c.spec.priority == priority]
+    for priority in sorted({c.priority for c in chunks}):
+        rest = [c for c in chunks if c.priority == priority]
         level = 0
         while rest:
             kept, rest, ahead = _on_time(rest, level, cpus_per_s, wall_us, ahead)
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -23,27 +23,32 @@
 #: what a fetch, and one that is too slow, weigh against CPU seconds lost by preemption
 UNCACHED_COST = 30.0
 SLOW_COST = 300.0
-#: what found no place in this pass: constraints, then CPUs, GPUs and memory
-Failed = dict[tuple[object, ...], list[tuple[float, float, float]]]
+#: what found no place in this pass, by what binds it besides its size: zones (None: any), CPUs, GPUs and memory
+Failed = dict[tuple[object, ...], list[tuple[frozenset[str] | None, float, float, float]]]
 
 
 class Placement:
     def __init__(self, state: ShardState) -> None:
         self.state = state
         self.ctx = state.ctx
+        timing = state.ctx.timing
+        self.mute_us, self.fresh_us = timing.lease_us // 2, timing.fresh_us
         self.wait_s = {o.job_class: o.within_s for o in state.ctx.settings.facts.objectives if o.kind == "wait"}
+        self.everywhere = set(state.ctx.settings.facts.zones)
         self.orders: dict[tuple[object, ...], deque[Worker]] = {}  # machines for a shape of tasks, in this pass
+        self.launched = 0
         self.looked = 0  # workers looked at so far: the work of placement, for tests and profiles
 
     # Who may get what.
 
     def usable(self, worker: Worker) -> bool:
+        if not worker.confirmed or not worker.armed or worker.lost or worker.deaf or worker.draining \
+                or worker.deleting or worker.notice_us or worker.type is None:
+            return False
+        now_us = self.ctx.now_us
         # One that answers probes while its own reports do not arrive is about to lose its lease.
-        mute_us = self.ctx.now_us - max(worker.report_us, self.state.taken_us)
-        return (mute_us < self.ctx.timing.lease_us // 2 and worker.confirmed and worker.armed
-                and worker.type is not None and not worker.lost and not worker.draining and not worker.notice_us
-                and not worker.deleting and not worker.deaf
-                and self.ctx.now_us - worker.heard_us <= self.ctx.timing.fresh_us)
+        return now_us - worker.heard_us <= self.fresh_us and (
+            now_us - worker.report_us < self.mute_us or now_us - self.state.taken_us < self.mute_us)
 
     def allowed(self, worker: Worker, spec: m.JobSpec, zones: set[str] | None) -> bool:
         return (worker.type is not None and (spec.types is None or worker.type.label in spec.types)
@@ -59,8 +64,10 @@
         if not (spec.one_zone or spec.spread):
             return None
         state = self.state
-        others = [c for s, c in self.ctx.view.chunks(chunk.uid).items()
-                  if s != state.index and tasksets.decode(c.own) - tasksets.decode(c.done)]
+        job = self.ctx.view.job(chunk.uid)
+        others = [] if job is None or (not job.parts and job.shard == state.index) else [
+            c for s, c in self.ctx.view.chunks(chunk.uid).items()
+            if s != state.index and tasksets.decode(c.own) - tasksets.decode(c.done)]
         # Where others hold a part of it, only disjoint zones keep both from meeting.
         apart = not spec.one_zone and chunk.zones and all(c.zones and not chunk.zones & set(c.zones) for c in others)
         if chunk.unknown or chunk.limbo or (others and not apart):
@@ -114,6 +121,7 @@
         least = min(c.spec.cpus for c in queue) - EPSILON
         roomy = [w for w in workers if w.type is not None and w.type.cpus - w.used_cpus >= least]
         self.looked += len(workers)
+        launched = self.launched
         for chunk in queue:
             if not whole and not roomy:
                 return
@@ -126,22 +134,25 @@
                 self._place_bound(chunk, roomy, workers, failed, whole)
             else:
                 self._place_free(chunk, roomy, workers, failed, whole)
-            if chunk.spec.priority > 0 and roomy:
+            if chunk.priority > 0 and roomy and self.launched != launched:
+                launched = self.launched
                 roomy = [w for w in roomy if w.type is not None and w.type.cpus - w.used_cpus >= least]
 
     def _hopeless(self, chunk: Chunk, zones: set[str] | None, failed: Failed, note: bool) -> bool:
-        """Whether a task no larger, bound alike, has found no place in this pass."""
+        """Whether a task no larger, bound alike and to no fewer zones, has found no place in this pass."""
         spec = chunk.spec
-        key = (spec.priority, spec.team, spec.spot, spec.zone, tuple(spec.types) if spec.types else None,
-               frozenset(zones) if zones is not None else None)
-        sizes = failed.setdefault(key, [])
         if note:
-            sizes.append((spec.cpus, spec.gpus, spec.memory_gb))
+            failed.setdefault(chunk.bounds, []).append(
+                (None if zones is None else frozenset(zones), spec.cpus, spec.gpus, spec.memory_gb))
             return True
-        return any(spec.cpus >= c and spec.gpus >= g and spec.memory_gb >= b for c, g, b in sizes)
+        return any((there is None or (zones is not None and zones <= there))
+                   and spec.cpus >= c and spec.gpus >= g and spec.memory_gb >= b
+                   for there, c, g, b in failed.get(chunk.bounds, ()))
 
     def _paused(self, chunk: Chunk) -> list[int]:
         """Tasks that pause after a failure, taken out of the queue for this pass."""
+        if not chunk.not_before:
+            return []
         now_us = self.ctx.now_us
         paused = [i for i, t in chunk.not_before.items() if t > now_us and i in chunk.pending]
         for index in paused:
@@ -192,6 +203,8 @@
                      whole: bool) -> None:
         """Tasks bound by zones: each is placed by what those before it left."""
         spec = chunk.spec
+        if self._hopeless(chunk, self.everywhere, failed, False):
+            return  # nowhere at all, so it need not be known which zones are left
         aside = self._paused(chunk)
         while chunk.pending and self._allows(chunk, whole):
             zones = self.zones_for(chunk)
@@ -199,8 +212,7 @@
                 break
             index = chunk.pending.peek()
             name = f"{chunk.uid}/{index}"
-            worker = next((w for w in self._by_preference(chunk, roomy, zones)
-                           if name not in w.attempts and name not in w.reported), None)
+            worker = self._best(chunk, roomy, zones, name)
             if whole and (worker is None or (spec.service and self.slow_fetch(worker, spec))):
                 # Room that is free but slow to fetch is only second to room that can be made.
                 quick = workers if worker is None else [w for w in workers if not self.slow_fetch(w, spec)]
@@ -222,8 +234,7 @@
         placed: list[Attempt] = []
         for index in list(chunk.pending):
             name = f"{chunk.uid}/{index}"
-            found = self._by_preference(chunk, roomy, self.zones_for(chunk))
-            worker = next((w for w in found if name not in w.attempts and name not in w.reported), None)
+            worker = self._best(chunk, roomy, self.zones_for(chunk), name)
             if worker is None:
                 for attempt in placed:
                     self.state.detach(self.state.workers[attempt.worker], attempt.name)
@@ -237,6 +248,7 @@
 
     def _launch(self, chunk: Chunk, index: int, worker: Worker, number: int = 0) -> None:
         state = self.state
+        self.launched += 1
         if not number:
             state.counter += 1
             number = state.term * ATTEMPTS_PER_TERM + state.counter
@@ -250,16 +262,23 @@
 
     def _by_preference(self, chunk: Chunk, workers: Iterable[Worker], zones: set[str] | None) -> list[Worker]:
         """Best fit among the machines that reported room, those with the image first."""
-        spec = chunk.spec
-        found = []
-        for worker in workers:
-            room = worker.free()
-            if fits(room, spec) and self.allowed(worker, spec, zones):
-                found.append(((worker.errors > 1, worker.name in chunk.blamed, *self._preference(worker, spec),
-                               room[0] - spec.cpus, room[2] - spec.memory_gb, worker.name), worker))
+        found = [(self._order(chunk, w), w) for w in workers
+                 if fits(w.free(), chunk.spec) and self.allowed(w, chunk.spec, zones)]
         found.sort(key=lambda f: f[0])
         return [worker for _, worker in found]
 
+    def _best(self, chunk: Chunk, workers: Iterable[Worker], zones: set[str] | None, name: str) -> Worker | None:
+        """The first of them on which nothing of that task is left."""
+        spec = chunk.spec
+        return min((w for w in workers if fits(w.free(), spec) and self.allowed(w, spec, zones)
+                    and name not in w.attempts and name not in w.reported),
+                   key=lambda w: self._order(chunk, w), default=None)
+
+    def _order(self, chunk: Chunk, worker: Worker) -> tuple[object, ...]:
+        room, spec = worker.free(), chunk.spec
+        return (worker.errors > 1, worker.name in chunk.blamed, *self._preference(worker, spec),
+                room[0] - spec.cpus, room[2] - spec.memory_gb, worker.name)
+
     def _preferred(self, chunk: Chunk, workers: Iterable[Worker]) -> Iterable[Worker]:
         """The same, found once a pass for all chunks of one shape where quotas give few tasks to many teams.
 
@@ -308,7 +327,7 @@
         """Preempt lower priorities. Production takes the place at once; others wait for it."""
         spec, quota = chunk.spec, self.state.quota
         guaranteed = quota is not None and bool(quota.rests_on(spec))
-        if spec.priority > 1 and not guaranteed:
+        if chunk.priority > 1 and not guaranteed:
             return None
         best: tuple[float, Worker, list[Attempt]] | None = None
         for worker in workers:
@@ -325,8 +344,8 @@
                     room[2] += attempt.spec.memory_gb
             search = quota.search(spec) if quota is not None else None
             victims = [a for a in worker.live() if a.seen and not a.halting and (
-                search.may(a) if search is not None else spec.priority <= 1 and a.spec.priority > spec.priority)]
-            victims.sort(key=lambda a: (-a.spec.priority, a.spec.checkpoint_s == 0, -a.running_us))
+                search.may(a) if search is not None else chunk.priority <= 1 and a.priority > chunk.priority)]
+            victims.sort(key=lambda a: (-a.priority, a.spec.checkpoint_s == 0, -a.running_us))
             chosen: list[Attempt] = []
             lost = 0.0
             for victim in victims:
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -15,7 +15,7 @@
 from quinceslip.coordination.packing import Packer
 from quinceslip.coordination.refusals import Refusals
 from quinceslip.coordination.shard import Shard
-from quinceslip.coordination.state import Chunk, fits
+from quinceslip.coordination.state import Chunk, Worker, fits
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
 
@@ -199,7 +199,7 @@
     def _adopt_listed(self) -> None:
         """Machines in the list that nobody answers for, for instance of a late rental."""
         shard = self.shards.get(self.ownership.home)
-        if shard is None or self.ctx.now_us < self.next_adopt_us:
+        if shard is None:
             return
         roster = self.ctx.view.by_kind["roster"]
         names = sorted(self.hosts)
@@ -229,7 +229,9 @@
             self._ask_list()
         if not self.ownership.entitled() or not self.ctx.view.loaded or not self.ctx.types:
             return
-        self._adopt_listed()
+        if now_us >= self.next_adopt_us:
+            self.next_adopt_us = now_us + SECOND
+            self._adopt_listed()
         self._pursue()
         for shard in list(self.shards.values()):
             if shard.alarm:
@@ -240,7 +242,7 @@
             for shard in list(self.shards.values()):
                 self._give_back(shard)
                 self._plan(shard)
-                slots, size = self._expected(shard)
+                slots, size = self._expected()
                 self._note_quick()
                 self.packer.pack(shard, slots * size / max(1, len(self.quick_rooms())))
 
@@ -387,11 +389,11 @@
         The lowest shard that has services rents for all: what one shard lacks, another may have.
         """
         services = [c for c in shard.chunks.values() if c.spec.service]
-        homes = [job.shard for job in self.ctx.view.open.values() if job.spec is not None and job.spec.service]
+        homes = [job.shard for job in self.ctx.view.services.values()]
         if not services or min(homes, default=-1) != shard.index:
             return
         chunk = max(services, key=lambda c: c.spec.cpus)
-        need, size = self._expected(shard)
+        need, size = self._expected()
         slots = self._service_slots(size)
         slots += sum(int(room // size) for room in coming)
         if slots < need:
@@ -399,12 +401,13 @@
             # Any zone will do: the zones of this running service say nothing of those to come.
             self._rent_for(shard, chunk, False, (need - slots) * size, need - slots, anywhere=True)
 
-    def _expected(self, shard: Shard) -> tuple[int, float]:
+    def _expected(self) -> tuple[int, float]:
         """Service tasks to expect while a machine boots, one job's at least, and the CPUs of one."""
-        jobs = [job for job in self.ctx.view.open.values() if job.spec is not None and job.spec.service]
+        jobs = self.ctx.view.services.values()
         if not jobs:
             return (0, 0.0)
-        recent = [j.tasks for j in jobs if self.ctx.wall_us - j.at_us < HEADROOM_WINDOW_US]
+        since_us = self.ctx.wall_us - HEADROOM_WINDOW_US
+        recent = [j.tasks for j in jobs if j.at_us > since_us]
         size = max(max(j.spec.cpus for j in jobs if j.spec is not None), 0.01)
         boot_s = min((t.boot_s for t in self.ctx.types.values()), default=0.0)
         # Where none has come for so long, one slot is enough to begin the next one with.
@@ -414,7 +417,7 @@
     def _note_quick(self) -> None:
         """Which types fetch a usual image of the services at hand within the wait that users accept."""
         placement = next(iter(self.shards.values())).placement
-        specs = [j.spec for j in self.ctx.view.open.values() if j.spec is not None and j.spec.service]
+        specs = [j.spec for j in self.ctx.view.services.values() if j.spec is not None]
         self.ctx.quick_types = {t.label for t in self.ctx.types.values()
                                 if 2 * sum(placement.quick_type(t, s) for s in specs) > len(specs)}
 
@@ -488,6 +491,7 @@
         mostly_heard = 2 * heard >= len(known) or (len(known) <= 2 and self.ownership.entitled())
         dark = self._dark_zones(shard)
         idle_rank = {True: 0, False: 0}
+        headroom: tuple[int | None, float] | None = None
         for worker in sorted(shard.workers.values(), key=lambda w: w.idle_us):
             if worker.deleting or worker.type is None:
                 continue
@@ -522,7 +526,9 @@
                 # One idle machine is kept in hand for long; the more there are, the shorter.
                 idle_rank[worker.spot] += 1
                 patience_us = self._patience_us(boot_us) // idle_rank[worker.spot]
-                spare = idle_us > patience_us and not self._headroom(shard, worker.name)
+                if idle_us > patience_us:
+                    headroom = self._spare_slots(shard) if headroom is None else headroom
+                    spare = not self._kept(worker, *headroom)
             if worker.draining or worker.errors > 2 or spare:
                 names.append(worker.name)
         if names:
@@ -546,17 +552,22 @@
     def _patience_us(self, boot_us: int) -> int:
         return max(10 * SECOND, int(self.ctx.tuning.idle_return_factor * boot_us))
 
-    def _headroom(self, shard: Shard, name: str) -> bool:
-        """Whether there would be too little room for the services to expect without this machine.
+    def _spare_slots(self, shard: Shard) -> tuple[int | None, float]:
+        """Places for services beyond those to expect, and the CPUs of one; None where the shard has no service.
 
         The same measure as for renting: what one returns and the other rents again costs a minute each.
         """
-        worker = shard.workers[name]
-        if worker.spot or not any(c.spec.service for c in shard.chunks.values()):
+        if not any(c.spec.service for c in shard.chunks.values()):
+            return (None, 0.0)
+        need, size = self._expected()
+        return (self._service_slots(size) - need, size) if size else (None, 0.0)
+
+    def _kept(self, worker: Worker, spare: int | None, size: float) -> bool:
+        """Whether there would be too little room for the services to expect without this machine."""
+        if worker.spot or spare is None:
             return False
-        need, size = self._expected(shard)
         mine = int(worker.service_room() // size) if self.ctx.quick(worker.type) else 0
-        return mine > 0 and self._service_slots(size) - mine < need
+        return mine > 0 and mine > spare
 
     def _service_slots(self, size: float) -> int:
         """Places for services of that many CPUs, free or held by what they may preempt, in all shards."""
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -65,7 +65,9 @@
             # The record changed since, so the move was either applied or never can be.
             limbo, chunk.limbo = chunk.limbo, set()
             state.add_pending(chunk, (limbo & own) - done)
-        state.dirty = True
+        # More that is done sets nothing free by itself: the machine's report did.
+        if fresh or removed or chunk.spec.whole or state.quota is not None:
+            state.dirty = True
         self.open.add(uid)
         if not record.own and job.shard != state.index:
             state.chunks.pop(uid)
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -10,6 +10,7 @@
 """
 
 import logging
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -29,10 +30,22 @@
 #: workers are looked at for silence so often
 SWEEP_US = SECOND // 2
 FORESIGHT_US = SECOND
+FIGURES_US = SECOND // 4
 #: a machine with services that has not been heard of for so long is asked
 SERVICE_PROBE_US = 3 * SECOND // 2
 
 
+@dataclass(slots=True)
+class Figures:
+    """Sums over the usable machines of a shard, as of one moment."""
+
+    at_us: int
+    service_room: dict[str, float]  # CPUs by zone that services could have: free, or of what they may preempt
+    quick_room: float = 0.0  # the part of it on machines that fetch a usual image of a service in time
+    batch_cpus: float = 0.0  # CPUs that services leave
+    free_cpus: list[float] = field(default_factory=list)  # of each machine
+
+
 class Shard(ShardState):
     def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int, restarted: bool) -> None:
         super().__init__(ctx, ownership, index, term)
@@ -47,6 +60,7 @@
         self.to_arm: set[str] = set()
         self.pausing: set[str] = set()  # jobs with tasks that pause after a failure
         self.typical: tuple[int, float, float] = (-SECOND, 1.0, 60.0)
+        self.known = Figures(-SECOND, {})
         # The last answer an earlier owner can have given its workers: at the end of its grace,
         # or, where it was this node before a restart, just before it died.
         grace_us = REPORT_WAIT_US if restarted else ctx.timing.grace_us + ctx.timing.hold_us
@@ -91,7 +105,7 @@
             return None
         if (report.session, report.seq) <= (worker.session, worker.seq):
             return m.CommandReply(self.term, [])
-        usable = self.placement.usable(worker)
+        usable, used_cpus = self.placement.usable(worker), worker.used_cpus
         if report.session > worker.session:
             # A first report only shows the session. It proves nothing about an inherited worker,
             # which may still take a late command until it shows our term.
@@ -121,7 +135,8 @@
             if worker.name in self.unresolved:
                 self.unresolved.discard(worker.name)
                 self._resolve()
-        if direct or self.placement.usable(worker) != usable:
+        if self.placement.usable(worker) != usable or (direct and (
+                worker.used_cpus < used_cpus or self.quota is not None or self._urgent())):
             self.dirty = True
         if direct:
             return None
@@ -131,6 +146,10 @@
         self.placement.fill(worker)
         return m.CommandReply(self.term, self.commander.orders(worker) if self.ownership.entitled() else [])
 
+    def _urgent(self) -> bool:
+        """Whether something waits that may stop other work: what has just been seen to run may make room."""
+        return any(c.pending and c.priority <= 1 for c in self.queued.values())
+
     def _arm(self) -> None:
         """Record durably that workers may hold tasks; nothing is launched on them before.
 
@@ -357,6 +376,7 @@
                           if w.type is not None and not w.heard_us and not w.deleting)
             # Of what is still booting, half is there in time for the usual job.
             foresee(queue, max((slots * cpus + booting / 2) * rate, 0.01), self.ctx.wall_us)
+            self.reorder()
 
     def settle(self) -> None:
         """After a batch of messages: place what waits, tell workers."""
@@ -386,24 +406,40 @@
         self.typical = (self.ctx.now_us, cpus or 1.0, run_s or 60.0)
         return self.typical[1:]
 
+    def figures(self) -> Figures:
+        """Sums over the machines that can be used, made anew four times a second at the most.
+
+        Each submission asks for them, and each part that balances, rents or returns machines.
+        """
+        now_us = self.ctx.now_us
+        if now_us < self.known.at_us + FIGURES_US:
+            return self.known
+        found = self.known = Figures(now_us, {zone: 0.0 for zone in self.ctx.settings.facts.zones})
+        usable, quick = self.placement.usable, self.ctx.quick
+        for worker in self.workers.values():
+            if not usable(worker) or worker.type is None:
+                continue
+            found.batch_cpus += max(0.0, worker.type.cpus - worker.service_cpus)
+            found.free_cpus.append(worker.type.cpus - worker.used_cpus)
+            if not worker.spot:
+                room = max(0.0, worker.service_room())
+                found.service_room[worker.zone] = found.service_room.get(worker.zone, 0.0) + room
+                if quick(worker.type):
+                    found.quick_room += room
+        return found
+
     def station(self) -> tuple[int, float]:
         """m and u of this shard."""
         cpus, run_s = self.mean_task()
-        total = 0.0
-        for worker in self.workers.values():
-            if self.placement.usable(worker) and worker.type is not None:
-                services = worker.service_cpus
-                total += max(0.0, worker.type.cpus - services)
-        return (int(total / max(cpus, 0.1)), 1.0 / max(run_s, 0.1))
+        return (int(self.figures().batch_cpus / max(cpus, 0.1)), 1.0 / max(run_s, 0.1))
 
     def room(self) -> int:
         """Slots free right now."""
-        if any(c.pending and not c.held for c in self.chunks.values()):
+        if any(c.pending and not c.held for c in self.queued.values()):
             return 0
         cpus, _ = self.mean_task()
         # A machine on which room is being made holds both until the victims are gone: less than nothing is free.
-        return int(sum(max(0.0, w.free()[0]) // max(cpus, 0.1) for w in self.workers.values()
-                       if self.placement.usable(w)))
+        return int(sum(max(0.0, free) // max(cpus, 0.1) for free in self.figures().free_cpus))
 
     def summary(self) -> str:
         """One line for the log: each machine with what services and other tasks take of it."""
@@ -418,13 +454,9 @@
 
     def service_room(self) -> list[int]:
         """CPUs that services could have in each zone: free, or held by what they may preempt."""
-        room = dict.fromkeys(self.ctx.settings.facts.zones, 0.0)
-        for worker in self.workers.values():
-            if self.placement.usable(worker) and not worker.spot:
-                room[worker.zone] = room.get(worker.zone, 0.0) + max(0.0, worker.service_room())
-        return [max(0, int(room[zone])) for zone in self.ctx.settings.facts.zones]
+        room = self.figures().service_room
+        return [int(room[zone]) for zone in self.ctx.settings.facts.zones]
 
     def quick_room(self) -> int:
         """The part of it on machines that fetch a usual image of a service in time."""
-        return int(sum(max(0.0, w.service_room()) for w in self.workers.values()
-                       if not w.spot and self.ctx.quick(w.type) and self.placement.usable(w)))
+        return int(self.figures().quick_room)
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -44,9 +44,11 @@
     counted: tuple[int, int, int, int] | None = None  # what quotas count of it
     yields: bool = False  # quotas count it among what was told to stop
     name: str = ""
+    priority: int = 0
 
     def __post_init__(self) -> None:
         self.name = f"{self.uid}/{self.index}"
+        self.priority = self.spec.priority
 
 
 @dataclass(slots=True, eq=False)
@@ -183,17 +185,24 @@
     due_us: list[int] = field(default_factory=list)  # wall clocks by which the users want it done, earliest first
     late: int = 0  # how many of these it is expected to miss
     held: bool = False  # only its quota keeps it from starting
+    priority: int = 0
+    bounds: tuple[object, ...] = ()  # what besides their size binds its tasks to machines
+
+    def __post_init__(self) -> None:
+        spec = self.spec
+        self.priority = spec.priority
+        self.bounds = (self.priority, spec.team, spec.spot, spec.zone, tuple(spec.types) if spec.types else None)
 
     def order(self) -> tuple[int, int, int, str]:
         """Priority, then first come, first served; what cannot be on time any more comes last.
 
         Plain first come, first served lets one late job make every later one late as well.
         """
-        return (self.spec.priority, self.late, self.at_us, self.uid)
+        return (self.priority, self.late, self.at_us, self.uid)
 
     def ready(self) -> int:
         """Waiting tasks that do not pause after a failure."""
-        return len(self.pending) - sum(i in self.pending for i in self.not_before)
+        return len(self.pending) - (sum(i in self.pending for i in self.not_before) if self.not_before else 0)
 
 
 class ShardState:
@@ -214,6 +223,7 @@
         self.alarm = False  # some worker has just been found dead
         self.to_tell: set[str] = set()  # workers with commands that have not gone out
         self.queued: dict[str, Chunk] = {}  # chunks that have had waiting tasks lately
+        self.sorted: list[Chunk] | None = None  # the same in order, where nothing has changed it since
         self.there: dict[str, set[Attempt]] = {}  # what of a job may still be on machines
         self.quota: Gate | None = None  # where quotas are switched on
 
@@ -282,14 +292,23 @@
                     and index not in chunk.limbo and index not in chunk.unknown and index in chunk.own:
                 chunk.pending.push(index)
                 self.dirty = True
-        if chunk.pending and self.chunks.get(chunk.uid) is chunk:
+        if chunk.pending and self.chunks.get(chunk.uid) is chunk and self.queued.get(chunk.uid) is not chunk:
             self.queued[chunk.uid] = chunk
+            self.sorted = None
 
     def ordered(self) -> list[Chunk]:
-        """Chunks with waiting tasks, in the order in which they are served."""
-        for uid in [u for u, c in self.queued.items() if not c.pending or self.chunks.get(u) is not c]:
-            del self.queued[uid]
-        return sorted(self.queued.values(), key=Chunk.order)
+        """Chunks with waiting tasks, in the order in which they are served.
+
+        Sorted anew only where a chunk came or `late` was set (`reorder`); asked for with nearly every report.
+        """
+        if self.sorted is None:
+            for uid in [u for u, c in self.queued.items() if not c.pending or self.chunks.get(u) is not c]:
+                del self.queued[uid]
+            self.sorted = sorted(self.queued.values(), key=Chunk.order)
+        return [c for c in self.sorted if c.pending and self.chunks.get(c.uid) is c]
+
+    def reorder(self) -> None:
+        self.sorted = None
 
     def waiting(self) -> int:
         """Tasks that wait for a machine; what waits for its quota alone is no load."""
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -124,6 +124,7 @@
         self.by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in KINDS}
         self.dropped: dict[str, int] = {}
         self.open: dict[str, JobRecord] = {}  # jobs that are not over
+        self.services: dict[str, JobRecord] = {}  # the services among them
 
     def know(self, kinds: Mapping[str, Any]) -> None:
         """Keep a subsystem's kinds of records as well."""
@@ -175,8 +176,11 @@
         if kind == "job":
             if value.state == QUEUED:
                 self.open[name] = value
+                if value.spec is not None and value.spec.service:
+                    self.services[name] = value
             else:
                 self.open.pop(name, None)
+                self.services.pop(name, None)
         return True
 
     def drop(self, key: str, stamp: int) -> bool:
@@ -192,6 +196,7 @@
             self.by_kind[kind].pop(name, None)
         if kind == "job":
             self.open.pop(name, None)
+            self.services.pop(name, None)
         return known
 
     @staticmethod
--- a/quinceslip/transport/actor.py
+++ b/quinceslip/transport/actor.py
@@ -21,7 +21,9 @@
         self.handle = handle
         self.carry_out = carry_out
         self.beat_us = beat_us
-        self.inbox: queue.Queue[Any] = queue.Queue(maxsize=inbox)
+        self.most = inbox
+        # Answers are a few for each call, and calls are bounded; only requests can come without end.
+        self.inbox: queue.SimpleQueue[Any] = queue.SimpleQueue()
         self.thread = threading.Thread(target=self._run, name="actor", daemon=True)
 
     def start(self) -> None:
@@ -29,11 +31,10 @@
 
     def post(self, message: Any) -> bool:
         """Requests from outside: refused when the inbox is full."""
-        try:
-            self.inbox.put_nowait(message)
-            return True
-        except queue.Full:
+        if self.inbox.qsize() >= self.most:
             return False
+        self.inbox.put(message)
+        return True
 
     def post_sure(self, message: Any) -> bool:
         """Answers to the actor's own calls: it waits for these, so they are never refused."""
--- a/quinceslip/transport/clients.py
+++ b/quinceslip/transport/clients.py
@@ -15,6 +15,7 @@
 from quinceslip.coordination.effects import NOT_SENT, UNKNOWN, Answer, Call
 from quinceslip.protocol.settings import split_address
 from quinceslip.transport.clock import steady_us
+from quinceslip.transport.headers import HeaderError, read_headers
 
 log = logging.getLogger(__name__)
 
@@ -22,11 +23,47 @@
 MOST_CALLS = 2000
 
 
+class Response(http.client.HTTPResponse):
+    """`http.client`'s, with a reader of its own for the header lines (`transport/headers.py`)."""
+
+    def begin(self) -> None:
+        while True:
+            version, self.status, self.reason = self._read_status()  # type: ignore[attr-defined]
+            try:
+                found = read_headers(self.fp)
+            except HeaderError as error:
+                raise http.client.HTTPException(str(error)) from error
+            if self.status != http.client.CONTINUE:
+                break
+        # Afterwards `read` needs no more than these.
+        self.chunked = (found.get("transfer-encoding") or "").lower() == "chunked"
+        self.chunk_left = None
+        text = found.get("content-length") or ""
+        self.length = int(text) if text.isascii() and text.isdigit() and not self.chunked else None
+        if self.status in (http.client.NO_CONTENT, http.client.NOT_MODIFIED):
+            self.length = 0
+        # A body without a length ends with the connection.
+        self.will_close = "close" in (found.get("connection") or "").lower() or version == "HTTP/1.0" or (
+            self.length is None and not self.chunked)
+
+
 class Connection(http.client.HTTPConnection):
     def connect(self) -> None:
         self.sock = socket.create_connection((self.host, self.port), self.timeout)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def ask(self, method: str, path: str, data: bytes | None) -> Response:
+        """Send one request in one packet, and read the answer's head. Paths and methods are our own words."""
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n"
+        if data is not None:
+            head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+        elif method != "GET":
+            head += "Content-Length: 0\r\n"
+        self.sock.sendall(head.encode() + b"\r\n" + (data or b""))
+        response = Response(self.sock, method=method)
+        response.begin()
+        return response
+
 
 def exchange(connection: Connection, method: str, path: str, body: Any, timeout_s: float) -> tuple[int, bytes]:
     """One request; NOT_SENT where it surely never left, UNKNOWN where no answer came."""
@@ -42,9 +79,7 @@
         return NOT_SENT, b""
     data = None if body is None else msgspec.json.encode(body)
     try:
-        headers = {"Content-Type": "application/json"} if data is not None else {}
-        connection.request(method, path, body=data, headers=headers)
-        response = connection.getresponse()
+        response = connection.ask(method, path, data)
         answer = response.read(MAX_ANSWER)
         if response.will_close:
             connection.close()
--- /dev/null
+++ b/quinceslip/transport/headers.py
@@ -0,0 +1,54 @@
+"""Header lines of HTTP messages, read into a plain dictionary.
+
+`http.server` and `http.client` hand each header block to `email.parser`, which costs more than all else that
+is done for a report. Nothing here needs more of it than names and values.
+"""
+
+from typing import Protocol
+
+MOST_LINE = 64 * 1024
+MOST_LINES = 100
+
+
+class Source(Protocol):
+    def readline(self, size: int = ..., /) -> bytes: ...
+
+
+class HeaderError(ValueError):
+    """A block that is malformed (status 400) or larger than is read (431)."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Headers(dict[str, str]):
+    """Values by lower-case name; `get` takes any case. Of repeated lines the values are joined by commas."""
+
+    def get(self, name: str, default: str | None = None) -> str | None:  # type: ignore[override]
+        return super().get(name.lower(), default)
+
+
+def read_headers(source: Source) -> Headers:
+    """Read up to and including the empty line; raises `HeaderError`.
+
+    Repeated lengths are refused, however alike: two readers that choose differently would see two messages.
+    """
+    found = Headers()
+    for _ in range(MOST_LINES + 1):
+        line = source.readline(MOST_LINE + 1)
+        if line in (b"\r\n", b"\n", b""):
+            return found
+        if len(line) > MOST_LINE:
+            raise HeaderError(431, "header line too long")
+        name, colon, value = line.decode("latin-1").partition(":")
+        if not colon or not name or name != name.strip():
+            raise HeaderError(400, "malformed header line")
+        name, value = name.lower(), value.strip()
+        if name not in found:
+            found[name] = value
+        elif name in ("content-length", "transfer-encoding"):
+            raise HeaderError(400, f"{name} is given twice")
+        else:
+            found[name] += ", " + value
+    raise HeaderError(431, "too many header lines")
--- a/quinceslip/transport/http_server.py
+++ b/quinceslip/transport/http_server.py
@@ -18,6 +18,7 @@
 from quinceslip.coordination.effects import Asked, Reply, Reported, UserRequest
 from quinceslip.protocol import messages as m
 from quinceslip.transport.clock import steady_us
+from quinceslip.transport.headers import HeaderError, read_headers
 
 log = logging.getLogger(__name__)
 
@@ -33,15 +34,16 @@
     def __init__(self, post: Callable[[Any], bool]) -> None:
         self._post = post
         self._ids = itertools.count(1)
-        self._waiting: dict[int, tuple[threading.Event, list[Reply]]] = {}
+        self._waiting: dict[int, tuple[threading.Lock, list[Reply]]] = {}
 
     def ask(self, make: Callable[[int], Any], timeout_s: float) -> Reply | None:
         number = next(self._ids)
-        event = threading.Event()
+        answered = threading.Lock()  # held until the answer is there; an Event is three times as dear
+        answered.acquire()
         slot: list[Reply] = []
-        self._waiting[number] = (event, slot)
+        self._waiting[number] = (answered, slot)
         try:
-            if not self._post(make(number)) or not event.wait(timeout_s):
+            if not self._post(make(number)) or not answered.acquire(timeout=timeout_s):
                 return None
             return slot[0]
         finally:
@@ -49,9 +51,9 @@
 
     def give(self, reply: Reply) -> None:
         found = self._waiting.get(reply.request)
-        if found is not None:
+        if found is not None and not found[1]:
             found[1].append(reply)
-            found[0].set()
+            found[0].release()
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -62,6 +64,7 @@
     timeout = IDLE_S
     wbufsize = -1  # one packet for each answer
     server: "ApiServer"
+    raw_requestline: bytes
 
     def log_message(self, format: str, *args: Any) -> None:
         log.debug("%s: " + format, self.client_address[0], *args)
@@ -104,8 +107,31 @@
         return data
 
     def parse_request(self) -> bool:
+        """`http.server`'s, with a reader of its own for the header lines (`transport/headers.py`)."""
         self.server.active(self.connection)
-        return super().parse_request()
+        self.command, self.close_connection = "", True
+        self.requestline = self.raw_requestline.decode("latin-1").rstrip("\r\n")
+        words = self.requestline.split()
+        if len(words) != 3 or not words[2].startswith("HTTP/1."):
+            if words:
+                self.send_error(505 if len(words) == 3 and words[2].startswith("HTTP/") else 400, "bad request line")
+            return False
+        self.command, self.path, self.request_version = words
+        if self.path.startswith("//"):
+            self.path = "/" + self.path.lstrip("/")
+        try:
+            found = read_headers(self.rfile)
+        except HeaderError as error:
+            self.send_error(error.status, str(error))
+            return False
+        self.headers = found  # type: ignore[assignment]
+        connection = (found.get("connection") or "").lower()
+        self.close_connection = connection == "close" or (
+            self.request_version == "HTTP/1.0" and connection != "keep-alive")
+        if (found.get("expect") or "").lower() == "100-continue" and self.request_version != "HTTP/1.0":
+            self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.wfile.flush()
+        return True
 
     def _serve(self) -> None:
         body = self._body()
