Model of takeover with custody's own code; two holes it found; custody pulled out of the shard

The model plays one shard's owner, workers, late reports and commands, restarts and raised terms exhaustively, and asks that each guard left out is missed. Holes it found and that are mended: a worker's new session settled its place in the roster, though an earlier owner may have known that session; an inherited attempt known from a late report hid a newer one on the same worker, whose result was reaped; a session whose lease is over is not answered any more. `quinceslip bench fleet`: work and time of a controller by kind of message.

--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -44,9 +44,51 @@
     grants.add_argument("--without", default="", metavar="GUARD", help="leave one guard out: a breach must be found")
     grants.add_argument("--only", default="", metavar="STEP,...", help="only these kinds of steps, to reach deeper")
     grants.set_defaults(act=model_quota)
+    takeover = models.add_parser("takeover", help="one shard's owner, its workers, and its successors")
+    for name, default, text in (("depth", 7, "steps from the start"), ("workers", 2, "machines on the roster"),
+                                ("tasks", 1, "tasks of one job"),
+                                ("most-states", 0, "end after so many states (0: never)")):
+        takeover.add_argument(f"--{name}", type=int, default=default, help=f"{text} ({default})")
+    takeover.add_argument("--without", default="", metavar="GUARD", help="leave one guard out: a breach must be found")
+    takeover.add_argument("--only", default="", metavar="STEP,...", help="only these kinds of steps, to reach deeper")
+    takeover.add_argument("--after", default="", metavar="STEP:N:N,...", help="begin after these steps")
+    takeover.set_defaults(act=model_takeover)
+    bench = commands.add_parser("bench", help="measure parts of the service on this machine")
+    benches = bench.add_subparsers(dest="part", required=True, metavar="WHAT")
+    fleet = benches.add_parser("fleet", help="work and processor time of a controller, by kind of message")
+    fleet.add_argument("--machines", type=int, nargs="+", default=[300, 561, 857, 1500], metavar="N")
+    fleet.add_argument("--seconds", type=float, default=60.0, help="simulated seconds (60)")
+    fleet.add_argument("--seed", type=int, default=1)
+    fleet.set_defaults(act=bench_fleet)
     return made
 
 
+def model_takeover(arguments: argparse.Namespace) -> int:
+    from quinceslip.models.takeover import explore, read_steps
+
+    logging.getLogger("quinceslip").setLevel(logging.CRITICAL)  # what it plays goes wrong on purpose
+    try:
+        found = explore(arguments.depth, arguments.workers, arguments.tasks, arguments.without, arguments.most_states,
+                        frozenset(s for s in arguments.only.split(",") if s), read_steps(arguments.after))
+    except ValueError as error:
+        raise SettingsError(str(error)) from error
+    print(f"{found.states} states, {found.depth} steps deep")
+    for what, number, index in found.history:
+        print(f"  {what} {number} {index}")
+    print(found.breach or "no breach")
+    return 0 if bool(found.breach) == bool(arguments.without) else 1
+
+
+def bench_fleet(arguments: argparse.Namespace) -> int:
+    import json
+
+    from quinceslip.bench.fleet import measure
+
+    for machines in arguments.machines:
+        print(json.dumps(measure(machines, arguments.seconds, arguments.seed)), flush=True)
+    return 0
+
+
 def model_quota(arguments: argparse.Namespace) -> int:
     from quinceslip.quota.commands import run_model
 
--- a/quinceslip/coordination/commands.py
+++ b/quinceslip/coordination/commands.py
@@ -39,7 +39,7 @@
         for name, attempt in list(worker.attempts.items()):
             if not attempt.seen:
                 if attempt.halting:
-                    if state.settled(worker, attempt):
+                    if state.settled(worker, attempt) or "pinned" not in state.guards:
                         # Launches in answers to reports are settled by the next report.
                         state.requeue(worker, attempt)
                         state.detach(worker, name)
@@ -54,7 +54,7 @@
                 if attempt.halting and (attempt.state != m.FLUSHING or attempt.grace_s == 0):
                     halts.append(m.halt(name, attempt.number, attempt.grace_s))
                     attempt.told = True
-            elif self.recorder.recorded(attempt):
+            elif self.recorder.recorded(attempt) or "recorded" not in state.guards:
                 if state.settled(worker, attempt):
                     reaps.append(m.reap(name, attempt.number))
                 else:
@@ -64,12 +64,19 @@
             if known is not None and known.number == task.attempt:
                 continue
             if task.state == m.EXITED:
-                if worker.confirmed:
+                if worker.confirmed and not self._result_open(name, task):
                     reaps.append(m.reap(name, task.attempt))
             elif self._unwanted(worker, name, task.attempt):
                 halts.append(m.halt(name, task.attempt, 0.0))
         return halts + launches + reaps
 
+    def _result_open(self, name: str, task: m.TaskReport) -> bool:
+        """Whether it is the only place of a result that is not recorded yet."""
+        uid, _, number = name.rpartition("/")
+        chunk = self.state.chunks.get(uid)
+        return chunk is not None and number.isdigit() and task.why == m.CAUSE_DONE \
+            and int(number) in chunk.own and int(number) not in chunk.done
+
     def _unwanted(self, worker: Worker, name: str, attempt: int) -> bool:
         uid, _, number = name.rpartition("/")
         job = self.ctx.view.job(uid)
@@ -83,7 +90,8 @@
         other = chunk.attempts.get(int(number))
         # Of two attempts the lower number goes: the task was launched again only after that was over.
         return int(number) in chunk.done or (
-            other is not None and other.worker != worker.name and other.number > attempt)
+            other is not None and other.worker != worker.name
+            and (other.number > attempt or "higher" not in self.state.guards))
 
     def send_direct(self) -> None:
         """Tell workers at once what cannot wait for their next report."""
--- /dev/null
+++ b/quinceslip/coordination/custody.py
@@ -0,0 +1,234 @@
+"""Which worker may hold which task: what reports prove, what a takeover inherits, what ends.
+
+What the rules rest on:
+- A task is launched only when it is certain that no worker has it. It is pinned to the worker its
+  launch was sent to until that worker reports it, loses its session, or is gone.
+- After a takeover, inherited tasks wait until every worker of the roster has shown the new term
+  (what earlier owners sent is dead from then on) or is proven gone.
+- Results are recorded before `reap`, and nothing is reaped while a direct launch of it is
+  unanswered: the worker would have forgotten the attempt and start it again.
+
+A plain class: no I/O, no clock but the actor's. `quinceslip model takeover` explores this very code.
+"""
+
+import logging
+
+from quinceslip.coordination.context import SECOND, Context, micros
+from quinceslip.coordination.ownership import Ownership
+from quinceslip.coordination.state import Attempt, Chunk, ShardState, Worker
+from quinceslip.protocol import messages as m
+
+log = logging.getLogger(__name__)
+
+
+class Custody(ShardState):
+    """The workers and tasks of a shard as reports show them."""
+
+    def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int) -> None:
+        super().__init__(ctx, ownership, index, term)
+        self.first_term = term  # a worker that shows it, or a later one, is past its earlier owners
+        self.pausing: set[str] = set()  # jobs with tasks that pause after a failure
+
+    # What others make of it.
+
+    def starts(self, worker: Worker, attempt: Attempt) -> None:
+        """A task has been seen to run."""
+
+    def completes(self, worker: Worker, attempt: Attempt, chunk: Chunk) -> None:
+        """A task is done; its result is not recorded yet."""
+
+    # Reports.
+
+    def over(self, worker: Worker, report: m.WorkerReport) -> bool:
+        """Whether it is of a session whose lease has run out, and so was late on its way.
+
+        Were the lease judged wrongly, an answer would prolong it while the tasks run elsewhere already. Without
+        one the session ends for certain, and the worker comes back in the next.
+        """
+        return worker.lost and report.session <= worker.session
+
+    def hear(self, worker: Worker, report: m.WorkerReport) -> bool:
+        """Take what a worker says of itself; False where it is older than what is known."""
+        now_us = self.ctx.now_us
+        if (report.session, report.seq) <= (worker.session, worker.seq) or self.over(worker, report):
+            return False
+        if report.session > worker.session:
+            # A new session proves the end of what ran in those before, and nothing else: of an inherited worker
+            # an earlier owner may have known it, and what that sent there may come yet. Only our term ends that.
+            if worker.session:
+                log.info("worker %s lost session %d", worker.name, worker.session)
+                self._drop_tasks(worker)
+                if "session" not in self.guards:
+                    self._settle_worker(worker)
+            worker.session = report.session
+            # A session has its full lease from its start, whether its reports are answered or not.
+            # Judged by the session before, its tasks were taken for lost while they ran.
+            worker.answered_us = max(worker.answered_us, now_us)
+        worker.lost = False
+        worker.seq, worker.token = report.seq, report.token
+        worker.endpoint, worker.heard_us, worker.deaf = report.endpoint, now_us, 0
+        if worker.type is None:
+            worker.type = self.ctx.types.get(report.type)
+        worker.zone, worker.spot = report.zone, report.spot
+        if report.notice_s is not None and not worker.notice_us:
+            worker.notice_us = now_us + micros(max(report.notice_s, 0.0))
+            log.info("worker %s goes in %.1f s", worker.name, report.notice_s)
+            self._notice(worker, report.notice_s)
+        worker.reported = {t.task: t for t in report.tasks}
+        self._match(worker)
+        if not worker.confirmed and (report.token >= self.first_term or "term" not in self.guards):
+            worker.confirmed = True
+            self._settle_worker(worker)
+        return True
+
+    def _match(self, worker: Worker) -> None:
+        for name, task in worker.reported.items():
+            attempt = worker.attempts.get(name)
+            if attempt is not None and attempt.number != task.attempt:
+                if task.attempt < attempt.number or "higher" not in self.guards:
+                    continue  # ended earlier and not reaped yet: it keeps the newer one out for a moment
+                # A worker has one attempt of a task, so the older one is over. It came of a report from before
+                # our term that was late: kept, it would hide the living one, and let its result be reaped.
+                if worker.confirmed:
+                    log.error("%s on %s as attempt %d, not %d", name, worker.name, task.attempt, attempt.number)
+                self.requeue(worker, attempt)
+                self.detach(worker, name)
+                attempt = None
+            if attempt is None:
+                attempt = self._discover(worker, name, task)
+                if attempt is None:
+                    continue
+            attempt.seen = True
+            self._progress(worker, attempt, task)
+        for name, attempt in list(worker.attempts.items()):
+            if attempt.seen and name not in worker.reported:
+                if not attempt.ended:
+                    # Until it has shown our term, a worker may have told of itself as it was long before.
+                    log.log(logging.ERROR if worker.confirmed else logging.INFO, "%s vanished from %s", name,
+                            worker.name)
+                    self.requeue(worker, attempt)
+                self.detach(worker, name)
+        if self.quota is not None:
+            self.quota.reported(worker)
+
+    def _discover(self, worker: Worker, name: str, task: m.TaskReport) -> Attempt | None:
+        """A task we did not launch: one of an earlier owner's.
+
+        What it shows takes room and can be halted and reaped from here on, but the task stays unknown
+        until the whole roster is resolved: a newer attempt of it may live on a worker that has not
+        spoken yet, and until it shows our term a report may be as late as the network likes.
+        """
+        uid, _, number = name.rpartition("/")
+        chunk = self.chunks.get(uid)
+        if chunk is None or not number.isdigit():
+            return None
+        index, over = int(number), task.state == m.EXITED
+        if index not in chunk.own or index in chunk.done or index in chunk.new_done:
+            return None
+        final = over and task.why == m.CAUSE_DONE
+        known = chunk.attempts.get(index)
+        if known is not None and not final:
+            # A task is launched again only once it is over elsewhere: the higher number is the living one.
+            if not over:
+                other = self.workers.get(known.worker)
+                sure = worker.confirmed and other is not None and other.confirmed
+                log.log(logging.ERROR if sure else logging.INFO, "%s is on %s and on %s", name, worker.name,
+                        known.worker)
+            if task.attempt < known.number or "higher" not in self.guards:
+                return None
+        elif index not in chunk.unknown and not final:
+            if over or worker.name in self.unresolved:
+                return None
+            log.error("%s turned up on %s", name, worker.name)
+        if known is not None:
+            self.halt(known, 0.0)
+        chunk.pending.discard(index)
+        attempt = Attempt(uid, index, task.attempt, chunk.spec, worker.name, self.ctx.now_us, seen=True)
+        chunk.attempts[index] = attempt
+        self.attach(worker, attempt)
+        return attempt
+
+    def _progress(self, worker: Worker, attempt: Attempt, task: m.TaskReport) -> None:
+        if attempt.ended:
+            return
+        if task.state != m.PULLING and task.state != m.EXITED:
+            if not attempt.running_us:
+                attempt.running_us = self.ctx.now_us
+            self.starts(worker, attempt)
+        attempt.state = task.state
+        if task.state != m.EXITED:
+            return
+        self.end(worker, attempt, task.why or m.CAUSE_ERROR)
+        chunk = self.chunks.get(attempt.uid)
+        if chunk is None or chunk.attempts.get(attempt.index) is not attempt:
+            return
+        del chunk.attempts[attempt.index]
+        if attempt.ended == m.CAUSE_DONE:
+            chunk.new_done.add(attempt.index)
+            chunk.unknown.discard(attempt.index)  # final, whatever the rest of the roster holds
+            self.completes(worker, attempt, chunk)
+            return
+        if attempt.ended in m.CAUSES_GANG:
+            chunk.not_before[attempt.index] = self.ctx.now_us + SECOND
+            self.pausing.add(chunk.uid)
+        elif attempt.ended != m.CAUSE_HALTED:
+            # Retry elsewhere, later each time: a mistaken job fails on every machine.
+            failures = chunk.failures[attempt.index] = chunk.failures.get(attempt.index, 0) + 1
+            wait_us = min(30 * SECOND, SECOND // 2 * 2 ** min(failures, 6))
+            chunk.not_before[attempt.index] = self.ctx.now_us + wait_us
+            self.pausing.add(chunk.uid)
+            log.info("%s on %s: %s", attempt.name, worker.name, attempt.ended)
+            if attempt.ended == m.CAUSE_ERROR:
+                if chunk.sound and worker.name in chunk.blamed:
+                    worker.errors += 1
+                chunk.blamed.add(worker.name)
+        self.add_pending(chunk, [attempt.index])
+
+    def _drop_tasks(self, worker: Worker) -> None:
+        for name, attempt in list(worker.attempts.items()):
+            if not attempt.ended:
+                self.requeue(worker, attempt)
+            self.detach(worker, name)
+        worker.reported = {}
+        worker.images.clear()
+
+    def lose(self, worker: Worker) -> None:
+        """Nothing of ours or of an earlier owner's can be on it any more: its lease has run out, or it is gone."""
+        self._drop_tasks(worker)
+        worker.lost = True
+        self._settle_worker(worker)
+
+    def gone(self, name: str) -> None:
+        """The machine is proven gone."""
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            self.lose(worker)
+
+    # Takeover.
+
+    def inherit(self, worker: Worker) -> None:
+        """It may hold tasks of an earlier owner."""
+        self.unresolved.add(worker.name)
+
+    def _settle_worker(self, worker: Worker) -> None:
+        """What an earlier owner sent there is known in full, or dead."""
+        if worker.name in self.unresolved:
+            self.unresolved.discard(worker.name)
+            self.resolve()
+
+    def resolve(self) -> None:
+        """Once the whole roster has spoken, what is on none of its workers may start."""
+        if self.unresolved:
+            return
+        for chunk in self.chunks.values():
+            if chunk.unknown:
+                unknown, chunk.unknown = chunk.unknown, set()
+                self.add_pending(chunk, unknown)
+        self.dirty = True
+
+    def _notice(self, worker: Worker, notice_s: float) -> None:
+        worker.draining = "notice"
+        for attempt in worker.live():
+            spec = attempt.spec
+            if spec.service or (spec.checkpoint_s > 0 and spec.save_s <= notice_s):
+                self.halt(attempt, spec.save_s)
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Sequence
 
 from quinceslip.coordination.context import SECOND
-from quinceslip.coordination.state import ATTEMPTS_PER_TERM, EPSILON, Attempt, Chunk, ShardState, Worker, fits
+from quinceslip.coordination.state import EPSILON, Attempt, Chunk, ShardState, Worker, fits
 from quinceslip.protocol import messages as m
 from quinceslip.storage import tasksets
 
@@ -247,15 +247,8 @@
             chunk.pending.discard(attempt.index)
 
     def _launch(self, chunk: Chunk, index: int, worker: Worker, number: int = 0) -> None:
-        state = self.state
         self.launched += 1
-        if not number:
-            state.counter += 1
-            number = state.term * ATTEMPTS_PER_TERM + state.counter
-        attempt = Attempt(chunk.uid, index, number, chunk.spec, worker.name, self.ctx.now_us)
-        chunk.attempts[index] = attempt
-        state.attach(worker, attempt)
-        state.to_tell.add(worker.name)
+        attempt = self.state.launch(chunk, index, worker, number)
         log.debug("launch %s on %s", attempt.name, worker.name)
 
     # The choice of the machine.
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -1,13 +1,4 @@
-"""One shard: takes the reports of its workers and keeps its parts together.
-
-What the rules rest on:
-- A task is launched only when it is certain that no worker has it. It is pinned to the worker its
-  launch was sent to until that worker reports it, loses its session, or is gone.
-- After a takeover, inherited tasks wait until every worker of the roster has shown the new term
-  (what earlier owners sent is dead from then on) or is proven gone.
-- Results are recorded before `reap`, and nothing is reaped while a direct launch of it is
-  unanswered: the worker would have forgotten the attempt and start it again.
-"""
+"""One shard: its workers' reports, its parts together, and the sums that balance and rentals ask for."""
 
 import logging
 from dataclasses import dataclass, field
@@ -15,13 +6,14 @@
 import msgspec
 
 from quinceslip.coordination.commands import Commander
-from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context, micros
+from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context
+from quinceslip.coordination.custody import Custody
 from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.foresight import foresee
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.placement import Placement
 from quinceslip.coordination.recording import Recorder
-from quinceslip.coordination.state import Attempt, ShardState, Worker
+from quinceslip.coordination.state import Attempt, Chunk, Worker
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
 
@@ -46,7 +38,7 @@
     free_cpus: list[float] = field(default_factory=list)  # of each machine
 
 
-class Shard(ShardState):
+class Shard(Custody):
     def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int, restarted: bool) -> None:
         super().__init__(ctx, ownership, index, term)
         self.recorder = Recorder(self)
@@ -56,9 +48,7 @@
         self.moved_us: dict[str, int] = {}
         self.next_sweep_us = 0
         self.next_foresight_us = 0
-        self.first_term = term  # a worker that shows it, or a later one, is past its earlier owners
         self.to_arm: set[str] = set()
-        self.pausing: set[str] = set()  # jobs with tasks that pause after a failure
         self.typical: tuple[int, float, float] = (-SECOND, 1.0, 60.0)
         self.known = Figures(-SECOND, {})
         # The last answer an earlier owner can have given its workers: at the end of its grace,
@@ -69,10 +59,10 @@
                 worker = self._enroll(name, record)
                 worker.answered_us = self.taken_us + grace_us
                 if record.used:
-                    self.unresolved.add(name)
+                    self.inherit(worker)
         for uid in list(ctx.view.open):
             self.recorder.sync(uid, inherited=True)
-        self._resolve()
+        self.resolve()
 
     # Records.
 
@@ -103,38 +93,12 @@
         if report.token > self.term:
             self.raise_term(report.token)
             return None
-        if (report.session, report.seq) <= (worker.session, worker.seq):
-            return m.CommandReply(self.term, [])
+        if self.over(worker, report):
+            log.info("worker %s reports of session %d, whose lease is over", worker.name, report.session)
+            return None
         usable, used_cpus = self.placement.usable(worker), worker.used_cpus
-        if report.session > worker.session:
-            # A first report only shows the session. It proves nothing about an inherited worker,
-            # which may still take a late command until it shows our term.
-            if worker.session:
-                log.info("worker %s lost session %d", worker.name, worker.session)
-                self._lose(worker)
-            worker.session = report.session
-            # A session has its full lease from its start, whether its reports are answered or not.
-            # Judged by the session before, its tasks were taken for lost while they ran.
-            worker.answered_us = max(worker.answered_us, now_us)
-        elif worker.lost and any(t.state != m.EXITED for t in report.tasks):
-            log.error("worker %s is back in session %d, thought lost", worker.name, report.session)
-        worker.lost = False
-        worker.seq, worker.token = report.seq, report.token
-        worker.endpoint, worker.heard_us, worker.deaf = report.endpoint, now_us, 0
-        if worker.type is None:
-            worker.type = self.ctx.types.get(report.type)
-        worker.zone, worker.spot = report.zone, report.spot
-        if report.notice_s is not None and not worker.notice_us:
-            worker.notice_us = now_us + micros(max(report.notice_s, 0.0))
-            log.info("worker %s goes in %.1f s", worker.name, report.notice_s)
-            self._notice(worker, report.notice_s)
-        worker.reported = {t.task: t for t in report.tasks}
-        self._match(worker)
-        if report.token >= self.first_term and not worker.confirmed:
-            worker.confirmed = True
-            if worker.name in self.unresolved:
-                self.unresolved.discard(worker.name)
-                self._resolve()
+        if not self.hear(worker, report):
+            return m.CommandReply(self.term, [])
         if self.placement.usable(worker) != usable or (direct and (
                 worker.used_cpus < used_cpus or self.quota is not None or self._urgent())):
             self.dirty = True
@@ -174,152 +138,28 @@
         self.ctx.txn({**self.ownership.condition(self.index), **{k: view.stamp(k) for k in keys}},
                      {k: (entry, None) for k, entry in keys.items()}, [], done, Urgency.ROSTER)
 
-    def _match(self, worker: Worker) -> None:
-        for name, task in worker.reported.items():
-            attempt = worker.attempts.get(name)
-            if attempt is not None and attempt.number != task.attempt:
-                if attempt.seen:
-                    log.error("%s on %s as attempt %d, not %d", name, worker.name, task.attempt, attempt.number)
-                continue
-            if attempt is None:
-                attempt = self._discover(worker, name, task)
-                if attempt is None:
-                    continue
-            attempt.seen = True
-            self._progress(worker, attempt, task)
-        for name, attempt in list(worker.attempts.items()):
-            if attempt.seen and name not in worker.reported:
-                if not attempt.ended:
-                    # Until it has shown our term, a worker may have told of itself as it was long before.
-                    log.log(logging.ERROR if worker.confirmed else logging.INFO, "%s vanished from %s", name,
-                            worker.name)
-                    self.requeue(worker, attempt)
-                self.detach(worker, name)
-        if self.quota is not None:
-            self.quota.reported(worker)
-
-    def _discover(self, worker: Worker, name: str, task: m.TaskReport) -> Attempt | None:
-        """A task we did not launch: one of an earlier owner's.
-
-        What it shows takes room and can be halted and reaped from here on, but the task stays unknown
-        until the whole roster is resolved: a newer attempt of it may live on a worker that has not
-        spoken yet, and until it shows our term a report may be as late as the network likes.
-        """
-        uid, _, number = name.rpartition("/")
-        chunk = self.chunks.get(uid)
-        if chunk is None or not number.isdigit():
-            return None
-        index, over = int(number), task.state == m.EXITED
-        if index not in chunk.own or index in chunk.done or index in chunk.new_done:
-            return None
-        final = over and task.why == m.CAUSE_DONE
-        known = chunk.attempts.get(index)
-        if known is not None and not final:
-            # A task is launched again only once it is over elsewhere: the higher number is the living one.
-            if not over:
-                other = self.workers.get(known.worker)
-                sure = worker.confirmed and other is not None and other.confirmed
-                log.log(logging.ERROR if sure else logging.INFO, "%s is on %s and on %s", name, worker.name,
-                        known.worker)
-            if task.attempt < known.number:
-                return None
-        elif index not in chunk.unknown and not final:
-            if over or worker.name in self.unresolved:
-                return None
-            log.error("%s turned up on %s", name, worker.name)
-        if known is not None:
-            self.halt(known, 0.0)
-        chunk.pending.discard(index)
-        attempt = Attempt(uid, index, task.attempt, chunk.spec, worker.name, self.ctx.now_us, seen=True)
-        chunk.attempts[index] = attempt
-        self.attach(worker, attempt)
-        return attempt
-
-    def _progress(self, worker: Worker, attempt: Attempt, task: m.TaskReport) -> None:
-        if attempt.ended:
-            return
-        if task.state != m.PULLING and task.state != m.EXITED:
-            if not attempt.running_us:
-                attempt.running_us = self.ctx.now_us
-                log.debug("%s runs on %s (%s) after %.1f s", attempt.name, worker.name,
-                          worker.type.label if worker.type else "?", (self.ctx.now_us - attempt.sent_us) / SECOND)
-            worker.images.pop(attempt.spec.image, None)
-            worker.images[attempt.spec.image] = attempt.spec.image_gb
-            while worker.type and len(worker.images) > 1 and sum(worker.images.values()) > worker.type.cache_gb > 0:
-                del worker.images[next(iter(worker.images))]  # the machine keeps the most recently used
-        attempt.state = task.state
-        if task.state != m.EXITED:
-            return
-        self.end(worker, attempt, task.why or m.CAUSE_ERROR)
-        chunk = self.chunks.get(attempt.uid)
-        if chunk is None or chunk.attempts.get(attempt.index) is not attempt:
-            return
-        del chunk.attempts[attempt.index]
-        if attempt.ended == m.CAUSE_DONE:
-            chunk.new_done.add(attempt.index)
-            chunk.unknown.discard(attempt.index)  # final, whatever the rest of the roster holds
-            self.recorder.result(chunk)
-            # The job is sound, so the workers on which it failed are not.
-            chunk.sound = True
-            for name in chunk.blamed - {worker.name}:
-                if name in self.workers:
-                    self.workers[name].errors += 1
-            chunk.blamed -= {worker.name}
-            log.debug("%s is done on %s: sent %.1f s, running %.1f s ago", attempt.name, worker.name,
-                      (self.ctx.now_us - attempt.sent_us) / SECOND, (self.ctx.now_us - attempt.running_us) / SECOND)
-            if attempt.running_us:
-                self.finished.append((self.ctx.now_us - attempt.running_us) / SECOND)
-                del self.finished[:-200]
-            return
-        if attempt.ended in m.CAUSES_GANG:
-            chunk.not_before[attempt.index] = self.ctx.now_us + SECOND
-            self.pausing.add(chunk.uid)
-        elif attempt.ended != m.CAUSE_HALTED:
-            # Retry elsewhere, later each time: a mistaken job fails on every machine.
-            failures = chunk.failures[attempt.index] = chunk.failures.get(attempt.index, 0) + 1
-            wait_us = min(30 * SECOND, SECOND // 2 * 2 ** min(failures, 6))
-            chunk.not_before[attempt.index] = self.ctx.now_us + wait_us
-            self.pausing.add(chunk.uid)
-            log.info("%s on %s: %s", attempt.name, worker.name, attempt.ended)
-            if attempt.ended == m.CAUSE_ERROR:
-                if chunk.sound and worker.name in chunk.blamed:
-                    worker.errors += 1
-                chunk.blamed.add(worker.name)
-        self.add_pending(chunk, [attempt.index])
-
-    def _lose(self, worker: Worker) -> None:
-        for name, attempt in list(worker.attempts.items()):
-            if not attempt.ended:
-                self.requeue(worker, attempt)
-            self.detach(worker, name)
-        worker.reported = {}
-        worker.images.clear()
-        worker.lost = True
-        if worker.name in self.unresolved:
-            self.unresolved.discard(worker.name)
-            self._resolve()
-
-    def gone(self, name: str) -> None:
-        """The machine is proven gone."""
-        worker = self.workers.pop(name, None)
-        if worker is not None:
-            self._lose(worker)
-
-    def _resolve(self) -> None:
-        if self.unresolved:
-            return
-        for chunk in self.chunks.values():
-            if chunk.unknown:
-                unknown, chunk.unknown = chunk.unknown, set()
-                self.add_pending(chunk, unknown)
-        self.dirty = True
-
-    def _notice(self, worker: Worker, notice_s: float) -> None:
-        worker.draining = "notice"
-        for attempt in worker.live():
-            spec = attempt.spec
-            if spec.service or (spec.checkpoint_s > 0 and spec.save_s <= notice_s):
-                self.halt(attempt, spec.save_s)
+    def starts(self, worker: Worker, attempt: Attempt) -> None:
+        if attempt.running_us == self.ctx.now_us:
+            log.debug("%s runs on %s (%s) after %.1f s", attempt.name, worker.name,
+                      worker.type.label if worker.type else "?", (self.ctx.now_us - attempt.sent_us) / SECOND)
+        worker.images.pop(attempt.spec.image, None)
+        worker.images[attempt.spec.image] = attempt.spec.image_gb
+        while worker.type and len(worker.images) > 1 and sum(worker.images.values()) > worker.type.cache_gb > 0:
+            del worker.images[next(iter(worker.images))]  # the machine keeps the most recently used
+
+    def completes(self, worker: Worker, attempt: Attempt, chunk: Chunk) -> None:
+        self.recorder.result(chunk)
+        # The job is sound, so the workers on which it failed are not.
+        chunk.sound = True
+        for name in chunk.blamed - {worker.name}:
+            if name in self.workers:
+                self.workers[name].errors += 1
+        chunk.blamed -= {worker.name}
+        log.debug("%s is done on %s: sent %.1f s, running %.1f s ago", attempt.name, worker.name,
+                  (self.ctx.now_us - attempt.sent_us) / SECOND, (self.ctx.now_us - attempt.running_us) / SECOND)
+        if attempt.running_us:
+            self.finished.append((self.ctx.now_us - attempt.running_us) / SECOND)
+            del self.finished[:-200]
 
     def term_raised(self, term: int) -> None:
         # Every worker that has shown a term of ours stays confirmed: what it may still execute is
@@ -354,7 +194,7 @@
             if not worker.lost and now_us > worker.answered_us + self.ctx.timing.lost_us:
                 if worker.attempts or worker.name in self.unresolved:
                     log.info("worker %s has been silent past its lease", worker.name)
-                self._lose(worker)
+                self.lose(worker)
             if worker.attempts:
                 worker.idle_us = now_us
             silent_us = now_us - max(worker.heard_us, self.taken_us)
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -205,9 +205,15 @@
         return len(self.pending) - (sum(i in self.pending for i in self.not_before) if self.not_before else 0)
 
 
+#: what keeps a task from being in two places, each left out once by `quinceslip model takeover`
+ALL_GUARDS = frozenset({"unknown", "higher", "term", "session", "settled", "pinned", "recorded"})
+
+
 class ShardState:
     """Workers and chunks of one shard; the only place where their counts change."""
 
+    guards = ALL_GUARDS
+
     def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int) -> None:
         self.ctx = ctx
         self.ownership = ownership
@@ -238,6 +244,17 @@
         if self.quota is not None:
             self.quota.enter(attempt)
 
+    def launch(self, chunk: Chunk, index: int, worker: Worker, number: int = 0) -> Attempt:
+        """Pin a task to a worker; it is told with what goes out next. Gangs share the number of their first task."""
+        if not number:
+            self.counter += 1
+            number = self.term * ATTEMPTS_PER_TERM + self.counter
+        attempt = Attempt(chunk.uid, index, number, chunk.spec, worker.name, self.ctx.now_us)
+        chunk.attempts[index] = attempt
+        self.attach(worker, attempt)
+        self.to_tell.add(worker.name)
+        return attempt
+
     def detach(self, worker: Worker, name: str) -> None:
         attempt = worker.attempts.pop(name, None)
         if attempt is None:
@@ -262,6 +279,8 @@
 
     def settled(self, worker: Worker, attempt: Attempt) -> bool:
         """No launch of this attempt can still arrive."""
+        if "settled" not in self.guards:
+            return True
         if attempt.direct:
             return False
         return not attempt.unanswered_term or worker.token > attempt.unanswered_term
@@ -289,7 +308,8 @@
         """
         for index in indices:
             if index not in chunk.attempts and index not in chunk.done and index not in chunk.new_done \
-                    and index not in chunk.limbo and index not in chunk.unknown and index in chunk.own:
+                    and index not in chunk.limbo and index in chunk.own \
+                    and (index not in chunk.unknown or "unknown" not in self.guards):
                 chunk.pending.push(index)
                 self.dirty = True
         if chunk.pending and self.chunks.get(chunk.uid) is chunk and self.queued.get(chunk.uid) is not chunk:
--- /dev/null
+++ b/quinceslip/models/takeover.py
@@ -0,0 +1,418 @@
+"""Explores exhaustively, to a stated depth, what one shard's owner and its workers can do to each other.
+
+What is real: `Custody` (reports, inheritance, ends) and `Commander` (answers to reports, direct commands).
+What is modelled: workers that keep to the protocol's tokens, sessions and leases, a network that holds back
+reports and direct commands for as long as it likes, answers that are lost, owners that end and are followed
+by another under a higher term, and a state service that keeps what is done. Placement is free: a waiting
+task may go to any worker that has shown the term.
+
+Checked in every state: no task lives on two workers, none is started after its result was recorded, no result
+is dropped by its worker before that, and from here every task can still be done when the trouble is over.
+
+States are rebuilt by playing their history from the start, so that callbacks on their way are as real as the
+rest. Terms, attempts and sequence numbers count by their order only, so histories that differ in nothing
+else are one state.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+from quinceslip.coordination.commands import Commander
+from quinceslip.coordination.custody import Custody
+from quinceslip.coordination.effects import UNKNOWN
+from quinceslip.coordination.state import ALL_GUARDS, Attempt, Chunk, Worker
+from quinceslip.protocol import messages as m
+from quinceslip.storage.records import JobRecord
+
+UID = "req-1"
+Step = tuple[str, int, int]
+#: every kind of step; a number names a worker, a message on its way, or a task
+STEPS = ("launch", "halt", "raise", "record", "sweep", "gone", "crash", "report", "probe", "late",
+         "arrive", "do", "give up",
+         "finish", "fail", "expire")
+#: direct commands on their way at the same time
+MOST_FLYING = 2
+#: rounds without trouble in which everything must be done
+CALM_ROUNDS = 14
+
+SPEC = m.JobSpec(uid=UID, job_class="c", team="t", kind="array", rank="normal", tasks=1, cpus=1.0, gpus=0.0,
+                 memory_gb=0.0, image="i", image_gb=0.0, one_zone=False, spread=False, spot=True, estimate_s=1.0,
+                 checkpoint_s=0.0, save_s=0.0)
+
+
+class Breach(Exception):
+    """What must never be."""
+
+
+@dataclass(slots=True)
+class Machine:
+    name: str
+    session: int = 1
+    seq: int = 0
+    token: int = 0
+    tasks: dict[str, m.TaskReport] = field(default_factory=dict)
+    gone: bool = False
+    lapsed: bool = False  # its lease has run out under the present owner, which has answered no report since
+
+    def report(self) -> m.WorkerReport:
+        self.seq += 1
+        return m.WorkerReport(worker=self.name, endpoint=self.name, type="t", zone="z", session=self.session,
+                              seq=self.seq, token=self.token, tasks=list(self.tasks.values()))
+
+
+@dataclass(slots=True)
+class Flight:
+    """A direct command: on its way until it is delivered, whether or not its sender still waits."""
+
+    machine: int
+    body: m.DirectCommands
+    done: Callable[[int, bytes], None] | None
+
+
+class World:
+    def __init__(self, workers: int, tasks: int, guards: frozenset[str]) -> None:
+        self.tasks, self.guards = tasks, guards
+        self.machines = [Machine(f"w{n}") for n in range(workers)]
+        self.flights: list[Flight] = []
+        self.late: list[tuple[int, m.WorkerReport]] = []
+        self.term = 0
+        self.recorded: set[int] = set()
+        self.wants_term = 0
+        self._take_over()
+        for _ in range(2):  # the first owner has inherited nothing, and every worker has shown its term
+            for machine in range(workers):
+                self._report(machine)
+
+    # The owner.
+
+    def _take_over(self) -> None:
+        """A successor under a higher term; what its predecessor waited for is nobody's any more."""
+        for flight in self.flights:
+            flight.done = None
+        self.term += 1
+        self.wants_term = 0
+        # Nothing is final in the view before the job is; a recorded task stands in its chunk.
+        ctx: Any = SimpleNamespace(now_us=0, types={}, call=self._call,
+                                   view=SimpleNamespace(job=lambda uid: JobRecord(m.QUEUED, self.tasks)))
+        rights: Any = SimpleNamespace(entitled=lambda: True, claim=self._claim)
+        owner = self.owner = Custody(ctx, rights, 0, self.term)
+        owner.guards = self.guards
+        self.chunk = owner.chunks[UID] = Chunk(UID, SPEC, 0, own=set(range(self.tasks)), done=set(self.recorded))
+        self.chunk.unknown = self.chunk.own - self.chunk.done
+        for machine in self.machines:
+            machine.lapsed = False
+            if not machine.gone:
+                worker = owner.workers[machine.name] = Worker(machine.name, None, "z", False, endpoint=machine.name,
+                                                              armed=True)
+                owner.inherit(worker)
+        self.commander = Commander(owner, SimpleNamespace(recorded=self._is_recorded), self._hears)  # type: ignore[arg-type]
+        owner.resolve()
+
+    def _is_recorded(self, attempt: Attempt) -> bool:
+        return attempt.ended != m.CAUSE_DONE or attempt.index in self.chunk.done
+
+    def _claim(self, shard: int, above: int) -> None:
+        self.wants_term = max(self.wants_term, above, 1)
+
+    def _call(self, target: str, method: str, path: str, body: Any, done: Callable[[int, bytes], None],
+              timeout_us: int = 0) -> None:
+        number = int(target[1:])
+        self.flights.append(Flight(number, body, done))
+
+    def _hears(self, report: m.WorkerReport, direct: bool = False) -> m.CommandReply | None:
+        """`Shard.reported`, without what is not custody's."""
+        worker = self.owner.workers.get(report.worker)
+        if worker is None:
+            return None
+        if report.token > self.owner.term:
+            self.owner.raise_term(report.token)
+            return None
+        if self.owner.over(worker, report):
+            return None
+        if not self.owner.hear(worker, report):
+            return m.CommandReply(self.owner.term, [])
+        return None if direct else m.CommandReply(self.owner.term, self.commander.orders(worker))
+
+    def _settle(self) -> None:
+        self.owner.next_raise_us = 0
+        if len(self.flights) < MOST_FLYING:
+            self.commander.send_direct()
+
+    # Machines.
+
+    def _obey(self, machine: Machine, token: int, commands: list[m.Command]) -> None:
+        machine.token = max(machine.token, token)
+        for command in commands:
+            known = machine.tasks.get(command.task)
+            if command.op == "launch":
+                if known is None:
+                    self._start(machine, command.task, command.attempt)
+                # An exited attempt of the same task keeps a newer one out (`busy`): placement waits for the reap.
+            elif known is not None and known.attempt == command.attempt:
+                if command.op == "halt" and known.state != m.EXITED:
+                    machine.tasks[command.task] = m.TaskReport(command.task, known.attempt, m.EXITED, m.CAUSE_HALTED)
+                elif command.op == "reap" and known.state == m.EXITED:
+                    index = int(command.task.rpartition("/")[2])
+                    if known.why == m.CAUSE_DONE and index not in self.recorded:
+                        raise Breach(f"the result of {command.task} is dropped before it is recorded")
+                    del machine.tasks[command.task]
+
+    def _start(self, machine: Machine, task: str, attempt: int) -> None:
+        for other in self.machines:
+            there = other.tasks.get(task)
+            if other is not machine and there is not None and there.state != m.EXITED:
+                raise Breach(f"{task} starts on {machine.name} while it is on {other.name}")
+        if int(task.rpartition("/")[2]) in self.recorded:
+            raise Breach(f"{task} starts on {machine.name} after it was done")
+        machine.tasks[task] = m.TaskReport(task, attempt, m.RUNNING)
+
+    def _report(self, number: int) -> None:
+        machine = self.machines[number]
+        answer = self._hears(machine.report())
+        if answer is not None and answer.token >= machine.token:
+            machine.lapsed = False
+            self._obey(machine, answer.token, answer.commands)
+
+    # What may happen.
+
+    def _usable(self, worker: Worker, task: str) -> bool:
+        return worker.confirmed and not worker.lost and task not in worker.attempts and task not in worker.reported
+
+    def steps(self) -> Iterator[Step]:
+        owner = self.owner
+        for index in self.chunk.pending:
+            for number, machine in enumerate(self.machines):
+                worker = owner.workers.get(machine.name)
+                if worker is not None and self._usable(worker, f"{UID}/{index}"):
+                    yield "launch", number, index
+        for index, attempt in self.chunk.attempts.items():
+            if not attempt.halting:
+                yield "halt", 0, index
+        if self.wants_term:
+            yield "raise", 0, 0
+        if self.chunk.new_done:
+            yield "record", 0, 0
+        yield "crash", 0, 0
+        for number, machine in enumerate(self.machines):
+            if machine.gone:
+                continue
+            worker = owner.workers.get(machine.name)
+            yield "report", number, 0
+            if worker is not None and not worker.confirmed:
+                yield "probe", number, 0
+            if not self.late:
+                yield "late", number, 0
+            if machine.tasks:
+                yield "expire", number, 0
+            # A session that has been heard of has its full lease from then on.
+            if machine.lapsed and worker is not None and not worker.lost and worker.session != machine.session:
+                yield "sweep", number, 0
+            if sum(not w.gone for w in self.machines) > 1:
+                yield "gone", number, 0
+            for task, there in machine.tasks.items():
+                if there.state == m.RUNNING:
+                    yield "finish", number, int(task.rpartition("/")[2])
+                    yield "fail", number, int(task.rpartition("/")[2])
+        for place in range(len(self.late)):
+            yield "arrive", place, 0
+        for place, flight in enumerate(self.flights):
+            yield "do", place, 0
+            if flight.done is not None:
+                yield "give up", place, 0
+
+    def act(self, step: Step) -> None:
+        what, number, index = step
+        if what == "launch":
+            self.chunk.pending.discard(index)
+            self.owner.launch(self.chunk, index, self.owner.workers[self.machines[number].name])
+        elif what == "halt":
+            self.owner.halt(self.chunk.attempts[index], 0.0)
+        elif what == "raise":
+            self.term = max(self.term + 1, self.wants_term)
+            self.wants_term = 0
+            self.owner.term, self.owner.counter = self.term, 0
+        elif what == "record":
+            self.recorded |= self.chunk.new_done
+            self.chunk.done |= self.chunk.new_done
+            self.chunk.new_done.clear()
+        elif what == "crash":
+            self._take_over()
+        elif what == "report":
+            self._report(number)
+        elif what == "probe":
+            self._hears(self.machines[number].report(), direct=True)
+        elif what == "late":
+            self.late.append((number, self.machines[number].report()))
+        elif what == "arrive":
+            self._hears(self.late.pop(number)[1])
+        elif what in ("do", "give up"):
+            self._flight(what, number)
+        elif what in ("finish", "fail"):
+            task = f"{UID}/{index}"
+            why = m.CAUSE_DONE if what == "finish" else m.CAUSE_ERROR
+            tasks = self.machines[number].tasks
+            tasks[task] = m.TaskReport(task, tasks[task].attempt, m.EXITED, why)
+        elif what == "expire":
+            machine = self.machines[number]
+            machine.session, machine.lapsed = machine.session + 1, True
+            machine.tasks.clear()
+        elif what == "sweep":
+            self.owner.lose(self.owner.workers[self.machines[number].name])
+        else:
+            self.machines[number].gone = True
+            self.machines[number].tasks.clear()
+            self.owner.gone(self.machines[number].name)
+        self._settle()
+
+    def _flight(self, what: str, place: int) -> None:
+        flight = self.flights[place]
+        done, flight.done = flight.done, None
+        if what == "give up":
+            assert done is not None
+            done(UNKNOWN, b"")
+            return
+        del self.flights[place]
+        machine, body = self.machines[flight.machine], flight.body
+        if machine.gone:
+            return
+        obeyed = body.token >= machine.token and body.session == machine.session
+        if obeyed:
+            self._obey(machine, body.token, body.commands)
+        if done is not None:
+            done(200 if obeyed else 409, msgspec.json.encode(machine.report()))
+
+    # What a state is.
+
+    def key(self) -> tuple[object, ...]:
+        """All that matters of it: numbers that only rise count by their order."""
+        terms = sorted({0, self.term, self.owner.term, self.owner.first_term, *(w.token for w in self.machines),
+                        *(f.body.token for f in self.flights), *(r.token for _, r in self.late),
+                        *(a.unanswered_term for w in self.owner.workers.values() for a in w.attempts.values()),
+                        *(w.token for w in self.owner.workers.values())})
+        term = {t: n for n, t in enumerate(terms)}
+        numbers = sorted({t.attempt for w in self.machines for t in w.tasks.values()}
+                         | {c.attempt for f in self.flights for c in f.body.commands}
+                         | {t.attempt for _, r in self.late for t in r.tasks}
+                         | {a.number for w in self.owner.workers.values() for a in w.attempts.values()})
+        attempt = {a: n for n, a in enumerate(numbers)}
+
+        def shown(tasks: list[m.TaskReport]) -> tuple[object, ...]:
+            return tuple((t.task, attempt[t.attempt], t.state, t.why) for t in tasks)
+
+        machines = tuple((w.gone, term[w.token], w.lapsed, shown(list(w.tasks.values()))) for w in self.machines)
+        workers: list[tuple[object, ...] | None] = []
+        for machine in self.machines:
+            worker = self.owner.workers.get(machine.name)
+            if worker is None:
+                workers.append(None)
+                continue
+            workers.append((worker.session - machine.session if worker.session else None, term[worker.token],
+                            worker.confirmed, worker.lost, worker.busy, machine.name in self.owner.unresolved,
+                            machine.name in self.owner.to_tell,
+                            tuple((t, attempt.get(r.attempt, -1), r.state) for t, r in worker.reported.items()),
+                            tuple((a.name, attempt[a.number], a.seen, a.ended, a.halting, a.direct, a.told,
+                                   term[a.unanswered_term], self.chunk.attempts.get(a.index) is a)
+                                  for a in worker.attempts.values())))
+        chunk = self.chunk
+        flights = tuple((f.machine, term[f.body.token], f.body.session - self.machines[f.machine].session,
+                         tuple((c.op, c.task, attempt[c.attempt]) for c in f.body.commands), f.done is not None)
+                        for f in self.flights)
+        late = tuple((n, term[r.token], r.session - self.machines[n].session, shown(r.tasks),
+                      self._newer(n, r)) for n, r in self.late)
+        return (machines, tuple(workers), flights, late, tuple(sorted(self.recorded)), tuple(chunk.pending),
+                tuple(sorted(chunk.unknown)), tuple(sorted(chunk.new_done)), term[self.term], term[self.owner.term],
+                term[self.owner.first_term], self.wants_term > 0)
+
+    def _newer(self, number: int, report: m.WorkerReport) -> bool:
+        worker = self.owner.workers.get(self.machines[number].name)
+        return worker is not None and (report.session, report.seq) > (worker.session, worker.seq)
+
+    def calm(self) -> None:
+        """Without further trouble everything gets done; what is on its way arrives."""
+        for _ in range(CALM_ROUNDS):
+            if len(self.recorded) == self.tasks:
+                return
+            while self.late:
+                self.act(("arrive", 0, 0))
+            while self.flights:
+                self.act(("do", 0, 0))
+            for number, machine in enumerate(self.machines):
+                if not machine.gone:
+                    self.act(("report", number, 0))
+            for step in [s for s in self.steps() if s[0] in ("raise", "record", "finish")]:
+                self.act(step)
+            waiting = [s for s in self.steps() if s[0] == "launch"]
+            if waiting:
+                self.act(waiting[0])
+        if len(self.recorded) != self.tasks:
+            raise Breach(f"only {sorted(self.recorded)} of {self.tasks} tasks can ever be done")
+
+
+@dataclass(slots=True)
+class Found:
+    states: int
+    depth: int
+    breach: str = ""
+    history: list[Step] = field(default_factory=list)
+
+
+def explore(depth: int, workers: int = 2, tasks: int = 1, without: str = "", most_states: int = 0,
+            only: frozenset[str] = frozenset(), after: tuple[Step, ...] = ()) -> Found:
+    """Breadth first, so that the history of a breach is a shortest one beyond `after`.
+
+    `depth` counts the steps from there. `most_states` (0: none) ends the search; `only` leaves other steps out.
+    Raises ValueError for a guard that is none.
+    """
+    if without and without not in ALL_GUARDS:
+        raise ValueError(f"no such guard: {without}; there are {', '.join(sorted(ALL_GUARDS))}")
+    guards = ALL_GUARDS - {without}
+
+    def play(history: tuple[Step, ...]) -> World:
+        world = World(workers, tasks, guards)
+        for step in history:
+            world.act(step)
+        return world
+
+    seen = {play(after).key()}
+    todo: deque[tuple[Step, ...]] = deque([after])
+    reached = 0
+    while todo:
+        history = todo.popleft()
+        if len(history) >= depth + len(after):
+            continue
+        for step in play(history).steps():
+            if only and step[0] not in only:
+                continue
+            longer = (*history, step)
+            try:
+                world = play(longer)
+                key = world.key()
+                if key in seen:
+                    continue
+                seen.add(key)
+                reached = len(longer)
+                world.calm()
+            except Breach as breach:
+                return Found(len(seen), len(longer), str(breach), list(longer))
+            todo.append(longer)
+            if most_states and len(seen) >= most_states:
+                return Found(len(seen), reached)
+    return Found(len(seen), reached)
+
+
+def read_steps(text: str) -> tuple[Step, ...]:
+    """Read "launch:0:0,crash:0:0"; raises ValueError for anything else."""
+    found = []
+    for part in text.split(","):
+        if not part.strip():
+            continue
+        what, number, index = (p.strip() for p in part.split(":")) if part.count(":") == 2 else ("", "", "")
+        if what not in STEPS or not number.isdigit() or not index.isdigit():
+            raise ValueError(f"no such step: {part.strip()}; a step is KIND:NUMBER:NUMBER of {', '.join(STEPS)}")
+        found.append((what, int(number), int(index)))
+    return tuple(found)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,6 +20,7 @@
 import msgspec
 import pytest
 
+from quinceslip.bench.fleet import measure
 from quinceslip.coordination.balance import (
     Station,
     choose_shard,
@@ -33,6 +34,8 @@
 from quinceslip.coordination.effects import Call, Urgency
 from quinceslip.coordination.foresight import foresee
 from quinceslip.coordination.state import Chunk
+from quinceslip.models.takeover import explore as takeover
+from quinceslip.models.takeover import read_steps
 from quinceslip.protocol import messages as m
 from quinceslip.quota.model import explore
 from quinceslip.quota.plots import merged
@@ -622,6 +625,23 @@
                          only=frozenset(s for s in str(named.get("only", "")).split(",") if s))
         assert bool(result.breach) == ("without" in named), (named, result)
 
+    def do_takeover(self, plain: list[str], named: dict[str, Any]) -> None:
+        """takeover [without=GUARD] [depth=N] [workers=N] [tasks=N] [only=STEP,...] [after=STEP:N:N,...]"""
+        # Owners that are left without a guard say so.
+        self.errors_expected.append("")
+        result = takeover(named.get("depth", 7), named.get("workers", 2), named.get("tasks", 1),
+                          named.get("without", ""), named.get("most", 0),
+                          frozenset(s for s in str(named.get("only", "")).split(",") if s),
+                          read_steps(str(named.get("after", ""))))
+        assert bool(result.breach) == ("without" in named), (named, result)
+
+    def do_fleet_work(self, plain: list[str], named: dict[str, Any]) -> None:
+        """fleet_work SMALL LARGE seconds=S KIND=TIMES ...: calls for a message may grow by so much at the most"""
+        seconds = float(named.pop("seconds"))
+        small, large = (measure(int(n), seconds, 1)["kinds"] for n in plain)
+        grown = {k: large[k]["calls_each"] / small[k]["calls_each"] for k in named}
+        assert all(grown[k] <= named[k] for k in named), grown
+
     def do_input(self, plain: list[str], named: dict[str, Any]) -> None:
         bad_input(plain[0])
 
