What only its quota held up starts when the quota is free, in another part of the fleet as well

Need: a scenario for the guard `open` of quotas (left out, the whole suite stayed green) showed a second defect: a job that only its quota kept waiting never started when the quota came free on another machine and nothing else changed. Held chunks were let go by a whole pass only, and a report that ends a task fills its own machine. Change: where the last pass left chunks held, an end of something counted makes the next whole pass due.

--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -139,7 +139,7 @@
 
     def blocked(self, chunk: Chunk, count: int, placeable: bool, workers: Iterable[Worker] = ()) -> None:
         """A chunk waits for its quota alone: note the claim, and have borrowed work here make room."""
-        chunk.held = True
+        chunk.held = self.holding = True
         spec = chunk.spec
         known = self.claims.get(spec.team)
         waiting = times(task_amounts(spec), max(count, len(chunk.pending)))
--- a/quinceslip/quota/meter.py
+++ b/quinceslip/quota/meter.py
@@ -35,6 +35,7 @@
         self.refused: dict[int, Amounts] = {}  # levels that had no room in this pass, and for how much
         self.kept: dict[str, Kept] = {}  # by job: room that was made for it
         self.entered = 0  # tasks counted so far
+        self.holding = False  # the last whole pass left chunks that only their quota keeps from starting
 
     def enter(self, attempt: Attempt) -> None:
         path = self.tree.path(attempt.spec.team)
@@ -51,6 +52,10 @@
         self.unsettled.pop(attempt, None)
         if attempt.counted is None:
             return
+        if self.holding:
+            # Chunks are held until a whole pass. Room elsewhere in the fleet, in a shard where nothing else
+            # changed, would stay empty for ever: a report fills its own machine, and not with what is held.
+            self.state.dirty = True
         path = self.tree.path(attempt.spec.team)
         self.count(self.use, path, attempt.counted, -1)
         if attempt.yields:
--- a/quinceslip/quota/rounds.py
+++ b/quinceslip/quota/rounds.py
@@ -49,6 +49,7 @@
         self.capacity = (int(sum(t.cpus for t in sizes) * 1000), int(sum(t.gpus for t in sizes) * 1000),
                          int(sum(t.memory_gb for t in sizes) * 1000), UNLIMITED)
         self.demand.clear()
+        self.holding = False
         for chunk in queue:
             chunk.held = False
             path = self.tree.guaranteed.get(chunk.spec.team)
