An owner that its workers cannot reach hands its shard to a peer that they do reach

Change: heartbeats say how many workers came to a controller although another owns their shard (`coordination/reach`, frames version 5). An owner that hears of none of its workers while peers hear of most drops its record, stands aside and asks a worker every 2 s until one answers. Machines that are gone leave the roster by as many as a transaction takes, until it is done: one write for each was lost when many fell, and held up the next takeover.

--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -21,6 +21,7 @@
 )
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.provision import Provisioner
+from quinceslip.coordination.reach import Reach
 from quinceslip.coordination.shard import Shard
 from quinceslip.coordination.subsystem import Maker
 from quinceslip.coordination.users import Users
@@ -48,6 +49,7 @@
         self.provision = Provisioner(self.ctx, self.ownership, self.shards)
         self.provision.quick_rooms = self.balancer.quick_rooms
         self.users = Users(self.ctx, self.shards, self.balancer, self.subsystems)
+        self.reach = Reach(self.ctx, self.home)
         self.next_beat_us = 0
         self.next_summary_us = now_us + 30 * SECOND
         self.next_give_back_us = 0
@@ -157,14 +159,18 @@
             for shard in self.shards.values():
                 log.info("%s", shard.summary())
         if now_us >= self.next_give_back_us:
-            self.next_give_back_us = now_us + 2 * SECOND
+            self.next_give_back_us = now_us + SECOND
             self._give_back_shards()
+            self._hand_over_shards()
+        self.reach.tick()
+        self.ownership.aside = self.reach.aside
 
     # Peers.
 
     def _beat(self) -> None:
         beat = frames.Beat(self.ctx.settings.label, self.ctx.state_ok(), self.ctx.view.ledger,
-                           self.balancer.loads(), self.provision.refusals.left(self.ctx.now_us))
+                           self.balancer.loads(), self.provision.refusals.left(self.ctx.now_us),
+                           self.reach.aside, self.reach.strays())
         self.ctx.out.append(ToPeers(frames.pack_beat(beat)))
 
     def ready(self) -> bool:
@@ -188,10 +194,22 @@
             steady_us = self.ctx.now_us - max(peer.since_us, shard.taken_us)
             calm = not shard.unresolved and all(w.confirmed or w.lost or not w.heard_us
                                                 for w in shard.workers.values())
-            if peer.beat.state_ok and steady_us > 2 * self.ctx.timing.lease_us and calm:
+            if peer.beat.state_ok and not peer.beat.aside and steady_us > 2 * self.ctx.timing.lease_us and calm:
                 self.ownership.give_back(shard.index)
                 return
 
+    def _hand_over_shards(self) -> None:
+        """Peers that reach the workers of a shard take it from an owner that does not."""
+        if not self.ownership.entitled():
+            return
+        for index, shard in self.shards.items():
+            strays = sum(count for label, peer in self.balancer.peers.items() if self.balancer.alive(label)
+                         for s, count in peer.beat.strays if s == index)
+            if strays and self.reach.cut_off(shard.workers.values(), strays):
+                self.reach.step_aside(index)
+                self.ownership.give_back(index)
+                return
+
     # Workers.
 
     def _report(self, request: int, report: m.WorkerReport) -> None:
@@ -209,6 +227,7 @@
             if owner is None or owner == ctx.settings.label:
                 ctx.reply(request, 503)
             else:
+                self.reach.stray(record.shard, report.worker)
                 ctx.reply(request, 421, m.redirect(owner))
             return
         if not self.ownership.answering():
@@ -216,6 +235,7 @@
             return
         if report.worker not in shard.workers:
             shard.roster_changed(report.worker)
+        self.reach.reported()
         answer = shard.reported(report)
         if answer is None:
             ctx.reply(request, 503)
--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -36,6 +36,7 @@
         self.claiming = False
         self.next_claim_us = 0
         self.absent_since: dict[int, int] = {}
+        self.aside = False  # it does not reach its workers: others go first
 
     # What the node may do now.
 
@@ -143,6 +144,8 @@
                 delay = offset * SECOND // 2
                 if since - self.ctx.started_us < self.ctx.timing.hold_us:
                     delay += self.ctx.timing.hold_us
+            if self.aside:
+                delay += 2 * self.ctx.timing.hold_us
             if now_us >= since + delay:
                 self.claim(shard)
                 return
@@ -191,7 +194,10 @@
         return record.owner if record else None
 
     def give_back(self, shard: int) -> None:
-        """Hand a shard to its home, which is alive again: drop the record, the home claims it."""
+        """Hand a shard to its home, which is alive again, or to a peer that reaches its workers.
+
+        The record is dropped, and whoever is next claims it.
+        """
         if self.claiming or shard not in self.stamps:
             return
         self.claiming = True
@@ -199,7 +205,7 @@
         def done(status: int, failed: list[str]) -> None:
             self.claiming = False
             if status == 200 and shard in self.terms:
-                log.info("shard %d handed back to its home", shard)
+                log.info("shard %d is handed over", shard)
                 self._drop(shard)
 
         self.ctx.txn(self.condition(shard), {}, [records.shard_key(shard)], done, Urgency.USER)
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -75,6 +75,9 @@
         self.counter = 0
         self.refusals = Refusals(ownership.home)
         self.deleting: set[str] = set()
+        self.leaving: dict[str, int] = {}  # machines that are gone and still on the roster, and their shard
+        self.striking = False
+        self.next_strike_us = 0
         self.next_delete_us = 0
         self.next_adopt_us = 0
         self.left_us: dict[str, int] = {}  # when a machine left the roster
@@ -180,9 +183,29 @@
         """A machine is gone for certain: so is its place in the roster."""
         log.info("machine %s is gone: %s", name, why)
         shard.gone(name)
-        if self.ownership.owns(shard.index) and name in self.ctx.view.by_kind["roster"]:
-            self.ctx.txn(self.ownership.condition(shard.index), {}, [records.roster_key(name)],
-                         lambda s, f: None)
+        self.leaving[name] = shard.index
+
+    def _strike(self) -> None:
+        """Take machines that are gone off the roster: as many in one write as a transaction takes, until it is done.
+
+        One write for each was more than the budget takes when a third of the machines falls at once. What stayed on
+        the roster held up the next takeover, which waits for every machine on it.
+        """
+        roster = self.ctx.view.by_kind["roster"]
+        for name in [n for n, index in self.leaving.items() if n not in roster or not self.ownership.owns(index)]:
+            del self.leaving[name]
+        if not self.leaving or self.striking or self.ctx.now_us < self.next_strike_us:
+            return
+        index = next(iter(self.leaving.values()))
+        names = [n for n, s in self.leaving.items() if s == index][: self.ctx.settings.facts.state.txn_ops]
+        self.striking = True
+
+        def done(status: int, failed: list[str]) -> None:
+            self.striking = False
+            if status != 200:
+                self.next_strike_us = self.ctx.now_us + SECOND // 2
+
+        self.ctx.txn(self.ownership.condition(index), {}, [records.roster_key(n) for n in names], done)
 
     # Adoption.
 
@@ -233,6 +256,7 @@
             self.next_adopt_us = now_us + SECOND
             self._adopt_listed()
         self._pursue()
+        self._strike()
         for shard in list(self.shards.values()):
             if shard.alarm:
                 shard.alarm = False
--- /dev/null
+++ b/quinceslip/coordination/reach.py
@@ -0,0 +1,96 @@
+"""Whether this controller still reaches its workers, and whose workers come here in vain.
+
+A controller that is cut off from its workers alone keeps its shard: the state service answers it, so no peer
+takes over, and peers send the workers that come to them back to it (421) until their leases have run out and
+every task of the shard is lost. It cannot know by itself that its own network is at fault and not theirs. Its
+peers can tell: they count the workers that come to them although another owns their shard, and say so in
+their heartbeats. Where an owner hears of none of its workers and peers hear of most, it hands the shard over,
+as when one goes home, and stands aside until it reaches a worker again.
+"""
+
+import logging
+from collections.abc import Iterable
+
+from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context
+from quinceslip.coordination.state import Worker
+from quinceslip.protocol import messages as m
+
+log = logging.getLogger(__name__)
+
+#: fewer silent machines than this may as well be at fault themselves
+LEAST = 3
+#: while it stands aside, a controller asks one worker so often
+ASK_US = 2 * SECOND
+
+
+class Reach:
+    """Owned by the node's actor; asks workers through the context."""
+
+    def __init__(self, ctx: Context, home: int) -> None:
+        self.ctx = ctx
+        self.home = home
+        self.reported_us = ctx.now_us  # when a worker of a shard of ours reported last
+        self.aside = False
+        self.next_ask_us = 0
+        self.asked = 0
+        self._strays: dict[int, dict[str, int]] = {}  # by shard: its workers that came here, and when
+
+    def reported(self) -> None:
+        """A worker of ours, or one that belongs elsewhere, has reached this controller."""
+        self.reported_us = self.ctx.now_us
+        self._back()
+
+    def stray(self, shard: int, worker: str) -> None:
+        """A worker came here that a peer owns."""
+        self._strays.setdefault(shard, {})[worker] = self.ctx.now_us
+        self._back()
+
+    def strays(self) -> list[tuple[int, int]]:
+        """Shard and number of workers that came here in vain lately: once at least while each tries all controllers."""
+        since_us = self.ctx.now_us - 2 * REPORT_WAIT_US
+        found = []
+        for shard, workers in list(self._strays.items()):
+            for name in [n for n, at_us in workers.items() if at_us < since_us]:
+                del workers[name]
+            if workers:
+                found.append((shard, len(workers)))
+            else:
+                del self._strays[shard]
+        return found
+
+    def cut_off(self, workers: Iterable[Worker], strays: int) -> bool:
+        """Whether peers hear of most of these workers while this controller hears of none."""
+        if self.ctx.now_us - self.reported_us <= self.ctx.timing.probe_us:
+            return False
+        asked = [w for w in workers if w.attempts and not w.lost and not w.deleting]
+        silent = sum(w.deaf > 0 for w in asked)
+        return len(asked) >= LEAST and 2 * silent >= len(asked) and 2 * strays >= len(asked)
+
+    def step_aside(self, shard: int) -> None:
+        self.aside = True
+        self.next_ask_us = self.ctx.now_us + ASK_US
+        log.info("shard %d is handed over: its workers reach peers and not this controller", shard)
+
+    def tick(self) -> None:
+        """While aside, ask one worker after the other."""
+        if not self.aside or self.ctx.now_us < self.next_ask_us:
+            return
+        self.next_ask_us = self.ctx.now_us + ASK_US
+        roster = self.ctx.view.by_kind["roster"].values()
+        endpoints = [r.endpoint for r in roster if r.endpoint and r.shard == self.home]
+        if not endpoints:
+            self._back()
+            return
+        self.asked += 1
+
+        def done(status: int, body: bytes) -> None:
+            if status == 200:
+                self._back()
+
+        self.ctx.call(endpoints[self.asked % len(endpoints)], "GET", m.PATH_INSPECT, None, done, timeout_us=SECOND)
+
+    def _back(self) -> None:
+        if self.aside:
+            log.info("workers reach this controller again")
+            self.aside = False
+            self.reported_us = self.ctx.now_us
--- a/quinceslip/protocol/frames.py
+++ b/quinceslip/protocol/frames.py
@@ -4,15 +4,18 @@
 from dataclasses import dataclass, field
 
 MAGIC = b"QS"
-VERSION = 4
+VERSION = 5
 HEADER = struct.Struct("!2sBBH")  # magic, version, kind, length of the payload
-BEAT = struct.Struct("!16sBqHH")  # label, flags, ledger, number of shard loads, number of refusals
+BEAT = struct.Struct("!16sBqHHH")  # label, flags, ledger, numbers of shard loads, refusals and strays
 LOAD = struct.Struct("!HIIIdIB")  # shard, waiting, slots, room, service rate, quick room, number of zones
 ZONE = struct.Struct("!I")  # CPUs that services could have in one zone
 REFUSAL = struct.Struct("!32s32sBI")  # machine type, zone, 1 for spot, milliseconds left
+STRAY = struct.Struct("!HI")  # shard, workers of it that came in vain
 MOST_REFUSALS = 32
+MOST_STRAYS = 64
 KIND_BEAT = 1
 FLAG_STATE_OK = 1
+FLAG_ASIDE = 2
 MAX_PAYLOAD = 4096
 
 
@@ -41,6 +44,10 @@
     loads: list[ShardLoad]
     #: what the cloud refused lately: machine type, zone, spot, microseconds left
     refusals: list[tuple[str, str, bool, int]] = field(default_factory=list)
+    #: it does not reach its workers and wants no shard
+    aside: bool = False
+    #: shard, and how many of its workers came to this controller although another owns them
+    strays: list[tuple[int, int]] = field(default_factory=list)
 
 
 def _u32(amount: int) -> int:
@@ -51,8 +58,9 @@
     label = beat.label.encode()[:16]
     # A name that does not fit would come out as another one.
     refusals = [r for r in beat.refusals if max(len(r[0].encode()), len(r[1].encode())) <= 32][:MOST_REFUSALS]
-    body = BEAT.pack(label, FLAG_STATE_OK if beat.state_ok else 0, beat.ledger, len(beat.loads),
-                     len(refusals))
+    flags = (FLAG_STATE_OK if beat.state_ok else 0) | (FLAG_ASIDE if beat.aside else 0)
+    strays = sorted(beat.strays, key=lambda s: -s[1])[:MOST_STRAYS]
+    body = BEAT.pack(label, flags, beat.ledger, len(beat.loads), len(refusals), len(strays))
     for load in beat.loads:
         # A peer without heartbeats is taken for dead; an amount out of range must not cost one.
         body += LOAD.pack(load.shard, _u32(load.waiting), _u32(load.slots), _u32(load.room), load.rate,
@@ -61,6 +69,8 @@
             body += ZONE.pack(_u32(cpus))
     for machine_type, zone, spot, left_us in refusals:
         body += REFUSAL.pack(machine_type.encode(), zone.encode(), spot, left_us // 1000)
+    for shard, count in strays:
+        body += STRAY.pack(shard, _u32(count))
     return HEADER.pack(MAGIC, VERSION, KIND_BEAT, len(body)) + body
 
 
@@ -76,7 +86,7 @@
 
 def read_beat(body: bytes) -> Beat:
     try:
-        label, flags, ledger, count, refused = BEAT.unpack_from(body)
+        label, flags, ledger, count, refused, strayed = BEAT.unpack_from(body)
         offset = BEAT.size
         loads = []
         for _ in range(count):
@@ -90,8 +100,11 @@
             kind, place, spot, left_ms = REFUSAL.unpack_from(body, offset)
             offset += REFUSAL.size
             refusals.append((kind.rstrip(b"\0").decode(), place.rstrip(b"\0").decode(), bool(spot), left_ms * 1000))
+        strays = [STRAY.unpack_from(body, offset + i * STRAY.size) for i in range(strayed)]
+        offset += strayed * STRAY.size
         if len(body) != offset:
             raise FrameError("length does not match the number of loads")
-        return Beat(label.rstrip(b"\0").decode(), bool(flags & FLAG_STATE_OK), ledger, loads, refusals)
+        return Beat(label.rstrip(b"\0").decode(), bool(flags & FLAG_STATE_OK), ledger, loads, refusals,
+                    bool(flags & FLAG_ASIDE), [(s[0], s[1]) for s in strays])
     except (struct.error, UnicodeDecodeError) as error:
         raise FrameError(str(error)) from error
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -319,6 +319,10 @@
         now_us = self.w().now_us
         self.w().state.late[args[0]] = (now_us + int(float(args[1]) * US), int(float(args[2]) * US))
 
+    def on_cut_workers(self, args: list[str], named: dict[str, Any]) -> None:
+        """cut_workers NAME S: nothing passes between a controller and any worker."""
+        self.w().hosts[args[0]].cut_workers_until_us = self.w().now_us + int(float(args[1]) * US)
+
     def on_deaf(self, args: list[str], named: dict[str, Any]) -> None:
         """deaf NAME S: no frames to or from its peers."""
         self.w().hosts[args[0]].deaf_peers_until_us = self.w().now_us + int(float(args[1]) * US)
--- a/tests/world.py
+++ b/tests/world.py
@@ -432,6 +432,7 @@
         self.next_request = 0
         self.errors: list[str] = []
         self.deaf_peers_until_us = 0
+        self.cut_workers_until_us = 0  # nothing passes between it and any worker
         self.operators = configparser.ConfigParser(interpolation=None)  # its own copy of the operators' file
         self.operators.read_dict(world.operators)
         world.after(10_000, self.start)
@@ -537,7 +538,7 @@
         worker = next((w for w in world.workers.values() if w.host["endpoint"] == effect.target), None)
         if worker is None:
             world.after(effect.timeout_us, lambda: back(fx.NOT_SENT, {}))
-        elif world.now_us < max(worker.cut_until_us, worker.hung_until_us):
+        elif world.now_us < max(worker.cut_until_us, worker.hung_until_us, self.cut_workers_until_us):
             # Held back by the network, delivered when the interruption ends.
             if effect.path == "/do":
                 worker.held.append((body, back))
@@ -557,6 +558,8 @@
         self.give(make(self.next_request))
 
     def worker_reports(self, report: dict[str, Any], answer: Callable[[int, Any], None]) -> None:
+        if self.world.now_us < self.cut_workers_until_us:
+            return
         self.world.reports += 1
         decoded = msgspec.json.decode(json.dumps(report), type=m.WorkerReport)
         self._request(lambda n: fx.Reported(n, decoded), answer)
