A zone of which some machine is heard is not cut off: its dead machines are replaced at once

Change: a zone is taken for cut off only while nothing of it was heard after the silent ones. Heartbeats without strays are what they were before, so that controllers of two releases hear each other.

--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -33,6 +33,8 @@
 LATE_BOOT = 1.6
 #: so many silent machines at least make a zone that is cut off
 DARK_LEAST = 3
+#: questions that fail take so long at the most: what is heard later was not cut off together with the silent ones
+DARK_US = 3 * SECOND
 #: headroom on quick machines may cost so many times as much as on the cheapest ones
 HEADROOM_PRICE = 4.0
 #: services that came in this window tell how many to expect
@@ -563,15 +565,25 @@
         """Zones in which most of the machines that are asked do not answer: these are cut off.
 
         Their machines go on working and mostly come back. To delete them all would stop what runs there
-        for the time of a boot, on a cloud that may not have as many again.
+        for the time of a boot, on a cloud that may not have as many again. A zone of which some machine was
+        heard after the silent ones is not cut off: these have failed, and are replaced however many they are.
         """
         asked: dict[str, int] = defaultdict(int)
         silent: dict[str, int] = defaultdict(int)
+        last_us: dict[str, int] = defaultdict(int)  # when the last of the silent ones was heard
+        alive_us: dict[str, int] = defaultdict(int)  # when any other was
         for worker in shard.workers.values():
-            if not worker.lost and (worker.service_tasks or worker.name in shard.unresolved):
+            if worker.lost:
+                continue
+            if worker.deaf:
+                last_us[worker.zone] = max(last_us[worker.zone], worker.heard_us, shard.taken_us)
+            else:
+                alive_us[worker.zone] = max(alive_us[worker.zone], worker.heard_us)
+            if worker.service_tasks or worker.name in shard.unresolved:
                 asked[worker.zone] += 1
                 silent[worker.zone] += worker.deaf > 0
-        return {zone for zone, count in silent.items() if count >= DARK_LEAST and 2 * count >= asked[zone]}
+        return {zone for zone, count in silent.items() if count >= DARK_LEAST and 2 * count >= asked[zone]
+                and alive_us[zone] <= last_us[zone] + DARK_US}
 
     def _patience_us(self, boot_us: int) -> int:
         return max(10 * SECOND, int(self.ctx.tuning.idle_return_factor * boot_us))
--- a/quinceslip/protocol/frames.py
+++ b/quinceslip/protocol/frames.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass, field
 
 MAGIC = b"QS"
-VERSION = 5
+VERSION = 4
 HEADER = struct.Struct("!2sBBH")  # magic, version, kind, length of the payload
-BEAT = struct.Struct("!16sBqHHH")  # label, flags, ledger, numbers of shard loads, refusals and strays
+BEAT = struct.Struct("!16sBqHH")  # label, flags, ledger, number of shard loads, number of refusals
 LOAD = struct.Struct("!HIIIdIB")  # shard, waiting, slots, room, service rate, quick room, number of zones
 ZONE = struct.Struct("!I")  # CPUs that services could have in one zone
 REFUSAL = struct.Struct("!32s32sBI")  # machine type, zone, 1 for spot, milliseconds left
-STRAY = struct.Struct("!HI")  # shard, workers of it that came in vain
+STRAY = struct.Struct("!HI")  # shard, workers of it that came in vain; as many as follow, mostly none
 MOST_REFUSALS = 32
 MOST_STRAYS = 64
 KIND_BEAT = 1
@@ -60,7 +60,8 @@
     refusals = [r for r in beat.refusals if max(len(r[0].encode()), len(r[1].encode())) <= 32][:MOST_REFUSALS]
     flags = (FLAG_STATE_OK if beat.state_ok else 0) | (FLAG_ASIDE if beat.aside else 0)
     strays = sorted(beat.strays, key=lambda s: -s[1])[:MOST_STRAYS]
-    body = BEAT.pack(label, flags, beat.ledger, len(beat.loads), len(refusals), len(strays))
+    body = BEAT.pack(label, flags, beat.ledger, len(beat.loads),
+                     len(refusals))
     for load in beat.loads:
         # A peer without heartbeats is taken for dead; an amount out of range must not cost one.
         body += LOAD.pack(load.shard, _u32(load.waiting), _u32(load.slots), _u32(load.room), load.rate,
@@ -86,7 +87,7 @@
 
 def read_beat(body: bytes) -> Beat:
     try:
-        label, flags, ledger, count, refused, strayed = BEAT.unpack_from(body)
+        label, flags, ledger, count, refused = BEAT.unpack_from(body)
         offset = BEAT.size
         loads = []
         for _ in range(count):
@@ -100,11 +101,9 @@
             kind, place, spot, left_ms = REFUSAL.unpack_from(body, offset)
             offset += REFUSAL.size
             refusals.append((kind.rstrip(b"\0").decode(), place.rstrip(b"\0").decode(), bool(spot), left_ms * 1000))
-        strays = [STRAY.unpack_from(body, offset + i * STRAY.size) for i in range(strayed)]
-        offset += strayed * STRAY.size
-        if len(body) != offset:
-            raise FrameError("length does not match the number of loads")
+        # Left out where there are none, so that controllers from before they were sent take the frame as well.
+        strays = list(STRAY.iter_unpack(body[offset:]))
         return Beat(label.rstrip(b"\0").decode(), bool(flags & FLAG_STATE_OK), ledger, loads, refusals,
-                    bool(flags & FLAG_ASIDE), [(s[0], s[1]) for s in strays])
+                    bool(flags & FLAG_ASIDE), [(shard, came) for shard, came in strays])
     except (struct.error, UnicodeDecodeError) as error:
         raise FrameError(str(error)) from error
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -168,10 +168,13 @@
 
 def _frames(tmp: Path) -> None:
     beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6], 7)],
-                       [("aisle-mid", "erie-east", True, 12_000_000)])
+                       [("aisle-mid", "erie-east", True, 12_000_000)], aside=True, strays=[(1, 5)])
     data = frames.pack_beat(beat)
     kind, length = frames.read_header(data[: frames.HEADER.size])
     assert kind == frames.KIND_BEAT and frames.read_beat(data[frames.HEADER.size:]) == beat and length
+    # A frame without strays is what it was before they were sent.
+    assert len(data) - len(frames.pack_beat(frames.Beat(
+        beat.label, True, 42, beat.loads, beat.refusals))) == frames.STRAY.size
     for bad in (b"XX" + data[2:6], data[:2] + b"\x01" + data[3:6], data[:4] + b"\xff\xff"):
         with pytest.raises(frames.FrameError):
             frames.read_header(bad)
