--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -123,7 +123,7 @@
         quota = self.state.quota
         if not queue:
             if quota is not None:
-                quota.claims.clear()
+                quota.nothing_waits()
             return
         machines = Usable(self, self.state.workers.values())
         for part in [queue] if quota is None else quota.rounds(queue, machines.all()):
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -6,17 +6,14 @@
 
 import heapq
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.protocol import messages as m
 
-if TYPE_CHECKING:
-    from quinceslip.quota.gate import Gate
-
 log = logging.getLogger(__name__)
 
 #: attempts of one term; the term sits above, so attempts always rise
@@ -207,6 +204,37 @@
         return len(self.pending) - (sum(i in self.pending for i in self.not_before) if self.not_before else 0)
 
 
+class GivesWay(Protocol):
+    """Whose work may be stopped for a task, one victim after the other."""
+
+    def may(self, victim: Attempt) -> bool: ...
+    def pick(self, victim: Attempt) -> None: ...
+
+
+class Limits(Protocol):
+    """What a shard asks of the limits on teams, and tells them; quotas are such (`quinceslip/quota/gate.py`)."""
+
+    # What is on machines.
+    def enter(self, attempt: Attempt) -> None: ...
+    def leave(self, attempt: Attempt) -> None: ...
+    def ended(self, worker: Worker | None, attempt: Attempt) -> None: ...
+    def halts(self, attempt: Attempt) -> None: ...
+    def reported(self, worker: Worker) -> None: ...
+
+    # The order of a pass.
+    def nothing_waits(self) -> None: ...
+    def rounds(self, queue: Sequence[Chunk], workers: Sequence[Worker]) -> Iterator[list[Chunk]]: ...
+    def for_one_place(self, queue: Sequence[Chunk]) -> list[Chunk]: ...
+    def waits_for_round(self) -> bool: ...
+
+    # May it start, and what gives way to it.
+    def allows(self, spec: m.JobSpec, count: int = 1) -> bool: ...
+    def blocked(self, chunk: Chunk, count: int, placeable: bool, workers: Iterable[Worker] = ()) -> None: ...
+    def startable(self, spec: m.JobSpec, most: int, spoken_for: dict[int, tuple[int, int, int, int]]) -> int: ...
+    def rests_on(self, spec: m.JobSpec, count: int = 1) -> set[int]: ...
+    def search(self, spec: m.JobSpec, count: int = 1, rests_on: set[int] | None = None) -> GivesWay: ...
+
+
 #: what keeps a task from being in two places, each left out once by `quinceslip model takeover`
 ALL_GUARDS = frozenset({"unknown", "higher", "term", "session", "settled", "pinned", "recorded"})
 
@@ -233,7 +261,7 @@
         self.queued: dict[str, Chunk] = {}  # chunks that have had waiting tasks lately
         self.sorted: list[Chunk] | None = None  # the same in order, where nothing has changed it since
         self.there: dict[str, set[Attempt]] = {}  # what of a job may still be on machines
-        self.quota: Gate | None = None  # where quotas are switched on
+        self.quota: Limits | None = None  # where quotas are switched on
 
     # Attempts.
 
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -58,6 +58,9 @@
         self.kept = {uid: kept for uid, kept in self.kept.items()
                      if any(kept.room) and now_us < kept.until_us and (uid in waiting or not kept.here)}
 
+    def nothing_waits(self) -> None:
+        self.claims.clear()
+
     # May it start.
 
     def allows(self, spec: m.JobSpec, count: int = 1) -> bool:
