Scenarios for three guards whose loss no test saw: entitlement, the watch's recency, the bound of the grace

Need: leaving a guard out, one at a time, and running the suite showed these three missed by nothing. Change: two scenarios, each a cancellation that an owner cannot hear of: refused by the state service while its peer does not reach the workers, and with a watch that hangs while its hold is renewed.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -186,8 +186,8 @@
         assert self.world is not None
         return self.world
 
-    def ask(self, verb: str, uid: str, heard: Any, spec: Any = None) -> None:
-        alive = [h for h in self.w().hosts.values() if h.node is not None]
+    def ask(self, verb: str, uid: str, heard: Any, spec: Any = None, by: str = "") -> None:
+        alive = [h for h in self.w().hosts.values() if h.node is not None and by in ("", h.label)]
         if alive:
             self.w().random.choice(alive).user(verb, uid, heard, spec)
 
@@ -276,6 +276,7 @@
         self.ask("poll", args[0], heard)
 
     def on_cancel(self, args: list[str], named: dict[str, Any]) -> None:
+        """cancel UID [by=NAME]: asked of that controller, or of any"""
         world, uid = self.w(), args[0]
         world.checker.cancel_asked.add(uid)
         settled = [False]
@@ -287,7 +288,7 @@
 
         def attempt() -> None:
             if not settled[0]:
-                self.ask("cancel", uid, heard)
+                self.ask("cancel", uid, heard, by=named.get("by", ""))
                 world.after(2 * US, attempt)
 
         attempt()
@@ -323,6 +324,10 @@
         """cut_workers NAME S: nothing passes between a controller and any worker."""
         self.w().hosts[args[0]].cut_workers_until_us = self.w().now_us + int(float(args[1]) * US)
 
+    def on_hang_watch(self, args: list[str], named: dict[str, Any]) -> None:
+        """hang_watch NAME S: a controller's watch brings nothing, while its other calls are answered."""
+        self.w().hosts[args[0]].watch_hung_until_us = self.w().now_us + int(float(args[1]) * US)
+
     def on_deaf(self, args: list[str], named: dict[str, Any]) -> None:
         """deaf NAME S: no frames to or from its peers."""
         self.w().hosts[args[0]].deaf_peers_until_us = self.w().now_us + int(float(args[1]) * US)
--- a/tests/world.py
+++ b/tests/world.py
@@ -432,6 +432,7 @@
         self.next_request = 0
         self.errors: list[str] = []
         self.deaf_peers_until_us = 0
+        self.watch_hung_until_us = 0  # its watch stays open and brings nothing, while all else is answered
         self.cut_workers_until_us = 0  # nothing passes between it and any worker
         self.operators = configparser.ConfigParser(interpolation=None)  # its own copy of the operators' file
         self.operators.read_dict(world.operators)
@@ -487,7 +488,7 @@
         if life != self.life:
             return
         world, state = self.world, self.world.state
-        if not state.reachable(self.label):
+        if not state.reachable(self.label) or world.now_us < self.watch_hung_until_us:
             world.after(300_000, lambda: self._watch(life, since))
             return
         asked_us = world.now_us
