--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -210,7 +210,7 @@
         world, uid = self.w(), args[0]
         names = {"tasks": "picks", "cpus": "vcpus", "team": "crew", "memory": "memGb", "spot": "loaners",
                  "zone": "yard", "estimate": "expectS", "checkpoint": "markEveryS", "save": "markCostS"}
-        run_s = named.pop("run", 5)
+        run_s, by = named.pop("run", 5), named.pop("by", "")
         failing = named.pop("fails", 0)
         given = {names.get(k, k): v for k, v in named.items()}
         for key in ("vcpus", "memGb", "gpus", "expectS", "markEveryS", "markCostS"):
@@ -220,7 +220,7 @@
             given["builds"] = str(given.pop("types")).split(",")
         spec = job_spec(uid, shape="standing" if "service" in args else "group" if "gang" in args else "array", **given)
         if uid in world.jobs:
-            spec = world.jobs[uid] | {"picks": spec["picks"]}
+            spec = world.jobs[uid] | {k: spec[k] for k in ("picks", "vcpus")}
         else:
             world.jobs[uid], world.run_s[uid], world.failing[uid] = spec, run_s, failing
         until_us = world.now_us + 60 * US
@@ -238,7 +238,7 @@
 
         def attempt() -> None:
             if not settled[0] and world.now_us < until_us:
-                self.ask("submit", uid, heard, spec)
+                self.ask("submit", uid, heard, spec, by)
                 world.after(2 * US, attempt)
 
         def poll() -> None:
