--- /dev/null
+++ b/quinceslip/coordination/hiring.py
@@ -0,0 +1,140 @@
+"""Rental requests: recorded before they are made, repeated under one name, enrolled when they are answered."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from quinceslip.coordination.context import SECOND, Context
+from quinceslip.coordination.effects import Urgency
+from quinceslip.coordination.ownership import Ownership
+from quinceslip.coordination.refusals import Refusals
+from quinceslip.coordination.shard import Shard
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records
+
+log = logging.getLogger(__name__)
+
+HIRE_MOST = 50
+
+
+@dataclass(slots=True)
+class Hire:
+    """A rental request on its way."""
+
+    name: str
+    shard: int
+    record: records.HireRecord
+    recorded: bool = False
+    asking: bool = False
+    next_us: int = 0
+    names: list[str] | None = None  # what was rented, once the cloud has answered
+    enrolled: set[str] = field(default_factory=set)
+
+    def coming(self) -> int:
+        """Machines that may come of it and are not on the roster yet."""
+        return self.record.count if self.names is None else len(self.names) - len(self.enrolled)
+
+
+class Hiring:
+    """Owns the requests on their way; `answered` is told of each answer, so that what still lacks is asked for."""
+
+    def __init__(self, ctx: Context, ownership: Ownership, shards: dict[int, Shard],
+                 answered: Callable[[], None]) -> None:
+        self.ctx = ctx
+        self.ownership = ownership
+        self.shards = shards
+        self.answered = answered
+        self.hires: dict[str, Hire] = {}
+        self.counter = 0
+        self.refusals = Refusals(ownership.home)
+
+    def unrecorded(self, shard: int) -> bool:
+        """Whether a request of this shard is not durable yet."""
+        return any(not h.recorded for h in self.hires.values() if h.shard == shard)
+
+    def pursue(self) -> None:
+        """Carry recorded intents through, those of an earlier owner among them."""
+        for name, record in self.ctx.view.by_kind["hire"].items():
+            if name not in self.hires and record.shard in self.shards:
+                self.hires[name] = Hire(name, record.shard, record, recorded=True)
+        for hire in list(self.hires.values()):
+            if hire.shard not in self.shards or (hire.recorded and hire.name not in self.ctx.view.by_kind["hire"]):
+                del self.hires[hire.name]
+            elif hire.recorded and not hire.asking and self.ctx.now_us >= hire.next_us:
+                if hire.names is None:
+                    self._ask_hire(hire)
+                else:
+                    self._enroll(hire)
+
+    def _ask_hire(self, hire: Hire) -> None:
+        hire.asking = True
+        record = hire.record
+
+        def done(status: int, body: bytes) -> None:
+            hire.asking = False
+            hire.next_us = self.ctx.now_us + 2 * SECOND
+            names: list[str] = []
+            if status == 200:
+                try:
+                    names = msgspec.json.decode(body, type=m.HireAnswer).machines
+                except msgspec.DecodeError as error:
+                    log.error("cloud answered nonsense: %s", error)
+                    return
+            elif (status == 503 and b"capacity" in body) or status == 400:
+                pass
+            else:
+                return  # 429, trouble or no answer: the same name again later
+            if len(names) < record.count:
+                self.refusals.refused((record.type, record.zone, record.spot), self.ctx.now_us)
+            log.info("hire %s: %d of %d %s in %s%s", hire.name, len(names), record.count, record.type,
+                     record.zone, " (spot)" if record.spot else "")
+            hire.names = names
+            self.answered()
+            self._enroll(hire)
+
+        body = m.hire_request(hire.name, record.type, record.zone, record.spot, record.count)
+        self.ctx.call("cloud", "POST", m.PATH_HOSTS, body, done, timeout_us=4 * SECOND)
+
+    def _enroll(self, hire: Hire) -> None:
+        """Put rented machines on the roster; the intent goes with the last of them."""
+        if not self.ownership.owns(hire.shard) or hire.names is None:
+            return
+        record = hire.record
+        roster = self.ctx.view.by_kind["roster"]
+        hire.enrolled |= {n for n in hire.names if n in roster}
+        left = [n for n in hire.names if n not in hire.enrolled]
+        entry = records.RosterRecord(hire.shard, record.type, record.zone, record.spot)
+        fresh = left[: self.ctx.settings.facts.state.txn_ops - 1]
+        rest = len(left) > len(fresh)
+        conditions = self.ownership.condition(hire.shard)
+        conditions |= {records.roster_key(n): 0 for n in fresh}
+        puts = {records.roster_key(n): (entry, None) for n in fresh}
+        hire.asking = True
+
+        def done(status: int, failed: list[str]) -> None:
+            hire.asking = False
+            if status == 200:
+                hire.enrolled.update(fresh)
+                if rest:
+                    hire.next_us = self.ctx.now_us
+
+        self.ctx.txn(conditions, puts, [] if rest else [records.hire_key(hire.name)], done,
+                     Urgency.ROSTER)
+
+    def hire(self, shard: Shard, machine_type: str, zone: str, spot: bool, count: int) -> None:
+        self.counter += 1
+        # The term is this owner's alone and the counter is never reset, so no name comes twice.
+        name = f"{self.ctx.settings.label}-{shard.term}-{self.counter}"
+        record = records.HireRecord(shard.index, machine_type, zone, spot, min(count, HIRE_MOST))
+        hire = self.hires[name] = Hire(name, shard.index, record)
+
+        def done(status: int, failed: list[str]) -> None:
+            if status == 200:
+                hire.recorded = True
+            else:
+                self.hires.pop(name, None)
+
+        self.ctx.txn({**self.ownership.condition(shard.index), records.hire_key(name): 0},
+                     {records.hire_key(name): (record, None)}, [], done, Urgency.ROSTER)
--- /dev/null
+++ b/quinceslip/coordination/inventory.py
@@ -0,0 +1,173 @@
+"""The machines there are: the cloud's list, what is gone and leaves the roster, what nobody expected."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from quinceslip.coordination.context import SECOND, Context, TxnDone, micros
+from quinceslip.coordination.effects import Urgency
+from quinceslip.coordination.ownership import Ownership
+from quinceslip.coordination.shard import Shard
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records
+
+log = logging.getLogger(__name__)
+
+#: a machine that died is listed as running for about this long (PROTOCOL)
+DEAD_LISTED_US = 30 * SECOND
+
+
+class Inventory:
+    """Owns the list and the way off the roster; `delete` asks the cloud to delete machines of a shard."""
+
+    def __init__(self, ctx: Context, ownership: Ownership, shards: dict[int, Shard],
+                 delete: Callable[[Shard, list[str]], None]) -> None:
+        self.ctx = ctx
+        self.ownership = ownership
+        self.shards = shards
+        self.delete = delete
+        self.deleting: set[str] = set()  # machines whose deletion is on its way
+        self.hosts: dict[str, m.Host] = {}
+        self.listed_us = 0  # when the last complete list was asked for
+        self.first_listed: dict[str, int] = {}
+        self.listing = False
+        self.next_list_us = 0
+        self.leaving: dict[str, int] = {}  # machines that are gone and still on the roster, and their shard
+        self.striking = False
+        self.next_strike_us = 0
+        self.next_adopt_us = 0
+        self.left_us: dict[str, int] = {}  # when a machine left the roster
+        # Our part of the cloud's calls, leaving half for rentals and deletions.
+        rate = ctx.settings.facts.cloud.rps / ctx.settings.facts.size
+        self.list_period_us = max(int(SECOND / max(rate / 4, 0.05)), 2 * SECOND)
+        self.lag_us = micros(ctx.settings.facts.cloud.list_lag_s)
+
+    def look(self) -> None:
+        """Ask for the list when it is due."""
+        if not self.listing and self.ctx.now_us >= self.next_list_us and self.shards:
+            self._ask_list()
+
+    def tidy(self) -> None:
+        """Adopt what nobody expected and strike what is gone; for a node that may write."""
+        if self.ctx.now_us >= self.next_adopt_us:
+            self.next_adopt_us = self.ctx.now_us + SECOND
+            self._adopt_listed()
+        self._strike()
+
+    def roster_changed(self, name: str) -> None:
+        if name in self.ctx.view.by_kind["roster"]:
+            self.left_us.pop(name, None)
+        else:
+            self.left_us[name] = self.ctx.now_us
+
+    # The list of machines.
+
+    def _ask_list(self) -> None:
+        self.listing = True
+        asked_us = self.ctx.now_us
+        found: dict[str, m.Host] = {}
+
+        def page(after: str) -> None:
+            self.ctx.call("cloud", "GET", m.hosts_path(after), None, done, timeout_us=3 * SECOND,
+                          urgency=Urgency.REST)
+
+        def done(status: int, body: bytes) -> None:
+            try:
+                answer = msgspec.json.decode(body, type=m.HostList) if status == 200 else None
+            except msgspec.DecodeError as error:
+                log.error("cloud answered nonsense: %s", error)
+                answer = None
+            if answer is None:
+                self.listing = False
+                self.next_list_us = self.ctx.now_us + self.list_period_us
+                return
+            found.update({h.uid: h for h in answer.hosts})
+            if answer.more and answer.hosts:
+                page(answer.hosts[-1].uid)
+                return
+            self.listing = False
+            self.next_list_us = self.ctx.now_us + self.list_period_us
+            self._listed(found, asked_us)
+
+        page("")
+
+    def _listed(self, found: dict[str, m.Host], asked_us: int) -> None:
+        self.hosts, self.listed_us = found, asked_us
+        for name in found:
+            self.first_listed.setdefault(name, asked_us)
+        for shard in self.shards.values():
+            for name in list(shard.workers):
+                host = found.get(name)
+                if host is None:
+                    # A listed machine stays listed until it is gone; only a list that cannot be
+                    # older than the one that showed it is proof (it lags by up to twice the lag).
+                    seen_us = self.first_listed.get(name)
+                    if seen_us is not None and asked_us > seen_us + 2 * self.lag_us + 2 * SECOND:
+                        self.forget(shard, name, "no longer listed")
+                elif host.status == m.HOST_FAILED:
+                    shard.gone(name)
+                    self.delete(shard, [name])
+
+    def forget(self, shard: Shard, name: str, why: str) -> None:
+        """A machine is gone for certain: so is its place in the roster."""
+        log.info("machine %s is gone: %s", name, why)
+        shard.gone(name)
+        self.leaving[name] = shard.index
+
+    def _strike(self) -> None:
+        """Take machines that are gone off the roster: as many in one write as a transaction takes, until it is done.
+
+        One write for each was more than the budget takes when a third of the machines falls at once. What stayed on
+        the roster held up the next takeover, which waits for every machine on it.
+        """
+        roster = self.ctx.view.by_kind["roster"]
+        for name in [n for n, index in self.leaving.items() if n not in roster or not self.ownership.owns(index)]:
+            del self.leaving[name]
+        if not self.leaving or self.striking or self.ctx.now_us < self.next_strike_us:
+            return
+        index = next(iter(self.leaving.values()))
+        names = [n for n, s in self.leaving.items() if s == index][: self.ctx.settings.facts.state.txn_ops]
+        self.striking = True
+
+        def done(status: int, failed: list[str]) -> None:
+            self.striking = False
+            if status != 200:
+                self.next_strike_us = self.ctx.now_us + SECOND // 2
+
+        self.ctx.txn(self.ownership.condition(index), {}, [records.roster_key(n) for n in names], done)
+
+    # Adoption.
+
+    def adopt(self, name: str, record: records.RosterRecord, done: TxnDone | None = None) -> None:
+        """Put an unexpected machine on the roster of one of our shards."""
+        if not self.ownership.owns(record.shard):
+            if done:
+                done(503, [])
+            return
+        key = records.roster_key(name)
+        self.ctx.txn({**self.ownership.condition(record.shard), key: 0}, {key: (record, None)}, [],
+                     done or (lambda s, f: None), Urgency.ROSTER)
+
+    def _adopt_listed(self) -> None:
+        """Machines in the list that nobody answers for, for instance of a late rental."""
+        shard = self.shards.get(self.ownership.home)
+        if shard is None:
+            return
+        roster = self.ctx.view.by_kind["roster"]
+        names = sorted(self.hosts)
+        for place, name in enumerate(names):
+            if name in roster or name in self.deleting or place % self.ctx.settings.facts.size != shard.index:
+                continue
+            # The list shows what is gone for a while longer; a machine that was just returned
+            # must not be taken for one that nobody expected.
+            if self.listed_us < self.left_us.get(name, -DEAD_LISTED_US) + 2 * self.lag_us + DEAD_LISTED_US:
+                continue
+            host = self.hosts[name]
+            if host.age_s < 4 * self.lag_us / SECOND + 10 or host.status == m.HOST_FAILED:
+                continue
+            self.next_adopt_us = self.ctx.now_us + 2 * SECOND
+            log.info("machine %s is unexpected: adopted by shard %d", name, shard.index)
+            self.adopt(name, records.RosterRecord(shard.index, host.type, host.zone, host.spot,
+                                                  host.endpoint, used=True))
+            return
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -106,7 +106,7 @@
                 for shard in self.shards.values():
                     shard.recorder.sync(uid)
             elif kind == "roster":
-                self.provision.roster_changed(name)
+                self.provision.inventory.roster_changed(name)
                 for shard in self.shards.values():
                     shard.roster_changed(name)
             elif kind == "shard":
@@ -259,4 +259,4 @@
             else:
                 ctx.reply(request, 503)
 
-        self.provision.adopt(report.worker, record, done)
+        self.provision.inventory.adopt(report.worker, record, done)
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -1,19 +1,19 @@
-"""Rent machines for what waits, give back what idles, and lose none."""
+"""What machines are wanted: rent for what waits, give back what idles. `hiring` asks, `inventory` lists."""
 
 import logging
 import math
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
 from quinceslip.coordination.commands import PROBES
-from quinceslip.coordination.context import SECOND, Context, TxnDone, micros
+from quinceslip.coordination.context import SECOND, Context, micros
 from quinceslip.coordination.effects import Urgency
+from quinceslip.coordination.hiring import Hiring
+from quinceslip.coordination.inventory import Inventory
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.packing import Packer
-from quinceslip.coordination.refusals import Refusals
 from quinceslip.coordination.shard import Shard
 from quinceslip.coordination.state import Chunk, Worker, fits
 from quinceslip.protocol import messages as m
@@ -21,7 +21,6 @@
 
 log = logging.getLogger(__name__)
 
-HIRE_MOST = 50
 DELETE_MOST = 100
 #: a deleted machine costs at least this long (PROTOCOL)
 LEAST_PAID_US = 60 * SECOND
@@ -39,26 +38,6 @@
 HEADROOM_PRICE = 4.0
 #: services that came in this window tell how many to expect
 HEADROOM_WINDOW_US = 120 * SECOND
-#: a machine that died is listed as running for about this long (PROTOCOL)
-DEAD_LISTED_US = 30 * SECOND
-
-
-@dataclass(slots=True)
-class Hire:
-    """A rental request on its way."""
-
-    name: str
-    shard: int
-    record: records.HireRecord
-    recorded: bool = False
-    asking: bool = False
-    next_us: int = 0
-    names: list[str] | None = None  # what was rented, once the cloud has answered
-    enrolled: set[str] = field(default_factory=set)
-
-    def coming(self) -> int:
-        """Machines that may come of it and are not on the roster yet."""
-        return self.record.count if self.names is None else len(self.names) - len(self.enrolled)
 
 
 class Provisioner:
@@ -66,29 +45,17 @@
         self.ctx = ctx
         self.ownership = ownership
         self.shards = shards
-        self.hosts: dict[str, m.Host] = {}
-        self.listed_us = 0  # when the last complete list was asked for
-        self.first_listed: dict[str, int] = {}
-        self.listing = False
-        self.next_list_us = 0
         self.next_types_us = 0
         self.next_plan_us = 0
-        self.hires: dict[str, Hire] = {}
-        self.counter = 0
-        self.refusals = Refusals(ownership.home)
-        self.deleting: set[str] = set()
-        self.leaving: dict[str, int] = {}  # machines that are gone and still on the roster, and their shard
-        self.striking = False
-        self.next_strike_us = 0
+        self.hiring = Hiring(ctx, ownership, shards, self._plan_soon)
+        self.refusals = self.hiring.refusals
+        self.inventory = Inventory(ctx, ownership, shards, self._delete)
         self.next_delete_us = 0
-        self.next_adopt_us = 0
-        self.left_us: dict[str, int] = {}  # when a machine left the roster
         self.packer = Packer(ctx, ownership)
         self.quick_rooms: Callable[[], list[int]] = list
-        # Our part of the cloud's calls, leaving half for rentals and deletions.
-        rate = ctx.settings.facts.cloud.rps / ctx.settings.facts.size
-        self.list_period_us = max(int(SECOND / max(rate / 4, 0.05)), 2 * SECOND)
-        self.lag_us = micros(ctx.settings.facts.cloud.list_lag_s)
+
+    def _plan_soon(self) -> None:
+        self.next_plan_us = self.ctx.now_us  # what is still lacking is asked for elsewhere at once
 
     # Machine types.
 
@@ -127,138 +94,17 @@
 
         self.ctx.call("cloud", "GET", m.PATH_FLAVORS, None, done, timeout_us=3 * SECOND, urgency=Urgency.REST)
 
-    def roster_changed(self, name: str) -> None:
-        if name in self.ctx.view.by_kind["roster"]:
-            self.left_us.pop(name, None)
-        else:
-            self.left_us[name] = self.ctx.now_us
-
-    # The list of machines.
-
-    def _ask_list(self) -> None:
-        self.listing = True
-        asked_us = self.ctx.now_us
-        found: dict[str, m.Host] = {}
-
-        def page(after: str) -> None:
-            self.ctx.call("cloud", "GET", m.hosts_path(after), None, done, timeout_us=3 * SECOND,
-                          urgency=Urgency.REST)
-
-        def done(status: int, body: bytes) -> None:
-            try:
-                answer = msgspec.json.decode(body, type=m.HostList) if status == 200 else None
-            except msgspec.DecodeError as error:
-                log.error("cloud answered nonsense: %s", error)
-                answer = None
-            if answer is None:
-                self.listing = False
-                self.next_list_us = self.ctx.now_us + self.list_period_us
-                return
-            found.update({h.uid: h for h in answer.hosts})
-            if answer.more and answer.hosts:
-                page(answer.hosts[-1].uid)
-                return
-            self.listing = False
-            self.next_list_us = self.ctx.now_us + self.list_period_us
-            self._listed(found, asked_us)
-
-        page("")
-
-    def _listed(self, found: dict[str, m.Host], asked_us: int) -> None:
-        self.hosts, self.listed_us = found, asked_us
-        for name in found:
-            self.first_listed.setdefault(name, asked_us)
-        for shard in self.shards.values():
-            for name in list(shard.workers):
-                host = found.get(name)
-                if host is None:
-                    # A listed machine stays listed until it is gone; only a list that cannot be
-                    # older than the one that showed it is proof (it lags by up to twice the lag).
-                    seen_us = self.first_listed.get(name)
-                    if seen_us is not None and asked_us > seen_us + 2 * self.lag_us + 2 * SECOND:
-                        self._forget(shard, name, "no longer listed")
-                elif host.status == m.HOST_FAILED:
-                    shard.gone(name)
-                    self._delete(shard, [name])
-
-    def _forget(self, shard: Shard, name: str, why: str) -> None:
-        """A machine is gone for certain: so is its place in the roster."""
-        log.info("machine %s is gone: %s", name, why)
-        shard.gone(name)
-        self.leaving[name] = shard.index
-
-    def _strike(self) -> None:
-        """Take machines that are gone off the roster: as many in one write as a transaction takes, until it is done.
-
-        One write for each was more than the budget takes when a third of the machines falls at once. What stayed on
-        the roster held up the next takeover, which waits for every machine on it.
-        """
-        roster = self.ctx.view.by_kind["roster"]
-        for name in [n for n, index in self.leaving.items() if n not in roster or not self.ownership.owns(index)]:
-            del self.leaving[name]
-        if not self.leaving or self.striking or self.ctx.now_us < self.next_strike_us:
-            return
-        index = next(iter(self.leaving.values()))
-        names = [n for n, s in self.leaving.items() if s == index][: self.ctx.settings.facts.state.txn_ops]
-        self.striking = True
-
-        def done(status: int, failed: list[str]) -> None:
-            self.striking = False
-            if status != 200:
-                self.next_strike_us = self.ctx.now_us + SECOND // 2
-
-        self.ctx.txn(self.ownership.condition(index), {}, [records.roster_key(n) for n in names], done)
-
-    # Adoption.
-
-    def adopt(self, name: str, record: records.RosterRecord, done: TxnDone | None = None) -> None:
-        """Put an unexpected machine on the roster of one of our shards."""
-        if not self.ownership.owns(record.shard):
-            if done:
-                done(503, [])
-            return
-        key = records.roster_key(name)
-        self.ctx.txn({**self.ownership.condition(record.shard), key: 0}, {key: (record, None)}, [],
-                     done or (lambda s, f: None), Urgency.ROSTER)
-
-    def _adopt_listed(self) -> None:
-        """Machines in the list that nobody answers for, for instance of a late rental."""
-        shard = self.shards.get(self.ownership.home)
-        if shard is None:
-            return
-        roster = self.ctx.view.by_kind["roster"]
-        names = sorted(self.hosts)
-        for place, name in enumerate(names):
-            if name in roster or name in self.deleting or place % self.ctx.settings.facts.size != shard.index:
-                continue
-            # The list shows what is gone for a while longer; a machine that was just returned
-            # must not be taken for one that nobody expected.
-            if self.listed_us < self.left_us.get(name, -DEAD_LISTED_US) + 2 * self.lag_us + DEAD_LISTED_US:
-                continue
-            host = self.hosts[name]
-            if host.age_s < 4 * self.lag_us / SECOND + 10 or host.status == m.HOST_FAILED:
-                continue
-            self.next_adopt_us = self.ctx.now_us + 2 * SECOND
-            log.info("machine %s is unexpected: adopted by shard %d", name, shard.index)
-            self.adopt(name, records.RosterRecord(shard.index, host.type, host.zone, host.spot,
-                                                  host.endpoint, used=True))
-            return
-
     # Rentals.
 
     def tick(self) -> None:
         now_us = self.ctx.now_us
         if now_us >= self.next_types_us:
             self._ask_types()
-        if not self.listing and now_us >= self.next_list_us and self.shards:
-            self._ask_list()
+        self.inventory.look()
         if not self.ownership.entitled() or not self.ctx.view.loaded or not self.ctx.types:
             return
-        if now_us >= self.next_adopt_us:
-            self.next_adopt_us = now_us + SECOND
-            self._adopt_listed()
-        self._pursue()
-        self._strike()
+        self.inventory.tidy()
+        self.hiring.pursue()
         for shard in list(self.shards.values()):
             if shard.alarm:
                 shard.alarm = False
@@ -272,94 +118,9 @@
                 self._note_quick()
                 self.packer.pack(shard, slots * size / max(1, len(self.quick_rooms())))
 
-    def _pursue(self) -> None:
-        """Carry recorded intents through, those of an earlier owner among them."""
-        for name, record in self.ctx.view.by_kind["hire"].items():
-            if name not in self.hires and record.shard in self.shards:
-                self.hires[name] = Hire(name, record.shard, record, recorded=True)
-        for hire in list(self.hires.values()):
-            if hire.shard not in self.shards or (hire.recorded and hire.name not in self.ctx.view.by_kind["hire"]):
-                del self.hires[hire.name]
-            elif hire.recorded and not hire.asking and self.ctx.now_us >= hire.next_us:
-                if hire.names is None:
-                    self._ask_hire(hire)
-                else:
-                    self._enroll(hire)
-
-    def _ask_hire(self, hire: Hire) -> None:
-        hire.asking = True
-        record = hire.record
-
-        def done(status: int, body: bytes) -> None:
-            hire.asking = False
-            hire.next_us = self.ctx.now_us + 2 * SECOND
-            names: list[str] = []
-            if status == 200:
-                try:
-                    names = msgspec.json.decode(body, type=m.HireAnswer).machines
-                except msgspec.DecodeError as error:
-                    log.error("cloud answered nonsense: %s", error)
-                    return
-            elif (status == 503 and b"capacity" in body) or status == 400:
-                pass
-            else:
-                return  # 429, trouble or no answer: the same name again later
-            if len(names) < record.count:
-                self.refusals.refused((record.type, record.zone, record.spot), self.ctx.now_us)
-            log.info("hire %s: %d of %d %s in %s%s", hire.name, len(names), record.count, record.type,
-                     record.zone, " (spot)" if record.spot else "")
-            hire.names = names
-            self.next_plan_us = self.ctx.now_us  # what is still lacking is asked for elsewhere at once
-            self._enroll(hire)
-
-        body = m.hire_request(hire.name, record.type, record.zone, record.spot, record.count)
-        self.ctx.call("cloud", "POST", m.PATH_HOSTS, body, done, timeout_us=4 * SECOND)
-
-    def _enroll(self, hire: Hire) -> None:
-        """Put rented machines on the roster; the intent goes with the last of them."""
-        if not self.ownership.owns(hire.shard) or hire.names is None:
-            return
-        record = hire.record
-        roster = self.ctx.view.by_kind["roster"]
-        hire.enrolled |= {n for n in hire.names if n in roster}
-        left = [n for n in hire.names if n not in hire.enrolled]
-        entry = records.RosterRecord(hire.shard, record.type, record.zone, record.spot)
-        fresh = left[: self.ctx.settings.facts.state.txn_ops - 1]
-        rest = len(left) > len(fresh)
-        conditions = self.ownership.condition(hire.shard)
-        conditions |= {records.roster_key(n): 0 for n in fresh}
-        puts = {records.roster_key(n): (entry, None) for n in fresh}
-        hire.asking = True
-
-        def done(status: int, failed: list[str]) -> None:
-            hire.asking = False
-            if status == 200:
-                hire.enrolled.update(fresh)
-                if rest:
-                    hire.next_us = self.ctx.now_us
-
-        self.ctx.txn(conditions, puts, [] if rest else [records.hire_key(hire.name)], done,
-                     Urgency.ROSTER)
-
-    def _hire(self, shard: Shard, machine_type: str, zone: str, spot: bool, count: int) -> None:
-        self.counter += 1
-        # The term is this owner's alone and the counter is never reset, so no name comes twice.
-        name = f"{self.ctx.settings.label}-{shard.term}-{self.counter}"
-        record = records.HireRecord(shard.index, machine_type, zone, spot, min(count, HIRE_MOST))
-        hire = self.hires[name] = Hire(name, shard.index, record)
-
-        def done(status: int, failed: list[str]) -> None:
-            if status == 200:
-                hire.recorded = True
-            else:
-                self.hires.pop(name, None)
-
-        self.ctx.txn({**self.ownership.condition(shard.index), records.hire_key(name): 0},
-                     {records.hire_key(name): (record, None)}, [], done, Urgency.ROSTER)
-
     def _plan(self, shard: Shard) -> None:
         """Rent for the waiting tasks that no coming machine will take."""
-        if any(not h.recorded for h in self.hires.values() if h.shard == shard.index):
+        if self.hiring.unrecorded(shard.index):
             return
         coming: list[tuple[str, bool, m.MachineType, list[float]]] = []
         for worker in shard.workers.values():
@@ -368,7 +129,7 @@
                     self.ctx.now_us - worker.born_us < LATE_BOOT * micros(worker.type.boot_s):
                 room = [worker.type.cpus, worker.type.gpus, worker.type.memory_gb]
                 coming.append((worker.zone, worker.spot, worker.type, room))
-        for hire in self.hires.values():
+        for hire in self.hiring.hires.values():
             kind = self.ctx.types.get(hire.record.type)
             if hire.shard == shard.index and kind:
                 for _ in range(hire.coming()):
@@ -504,7 +265,7 @@
             return
         # The cheapest for what it can serve; between zones, the one with fewest of our machines.
         _, _, label, zone, cheap, machines = min(options)
-        self._hire(shard, label, zone, cheap, machines)
+        self.hiring.hire(shard, label, zone, cheap, machines)
 
     # Returns.
 
@@ -522,7 +283,7 @@
             if worker.deleting or worker.type is None:
                 continue
             boot_us = micros(worker.type.boot_s)
-            host = self.hosts.get(worker.name)
+            host = self.inventory.hosts.get(worker.name)
             deaf = worker.deaf >= PROBES and mostly_heard and worker.zone not in dark
             if worker.name in shard.unresolved and deaf:
                 # Deleted, it is certain to be gone, and what it may have held can start elsewhere.
@@ -612,23 +373,23 @@
     def _delete(self, shard: Shard, names: list[str]) -> None:
         if self.ctx.now_us < self.next_delete_us:
             return
-        names = [n for n in names if n not in self.deleting]
+        names = [n for n in names if n not in self.inventory.deleting]
         if not names:
             return
         for name in names:
-            self.deleting.add(name)
+            self.inventory.deleting.add(name)
             if name in shard.workers:
                 shard.workers[name].deleting = True
         log.info("returning %s", ", ".join(names))
 
         def done(status: int, body: bytes) -> None:
-            self.deleting.difference_update(names)
+            self.inventory.deleting.difference_update(names)
             if status == 200:
                 for name in names:
                     worker = shard.workers.get(name)
                     if worker is not None and worker.type is not None:
                         self.refusals.room_again((worker.type.label, worker.zone, worker.spot))
-                    self._forget(shard, name, "returned")
+                    self.inventory.forget(shard, name, "returned")
             else:
                 self.next_delete_us = self.ctx.now_us + SECOND
                 # Whether it was done is open: nothing may be launched there, ask again.
