--- a/tests/checker.py
+++ b/tests/checker.py
@@ -51,6 +51,12 @@
             self.breach("wrong_place", f"{task}: zones {dict(zones)}")
         if spec["spread"] and max(zones.values()) > (spec["picks"] + 1) // 2:
             self.breach("wrong_place", f"{task}: spread {dict(zones)}")
+        if spec["shape"] == "group":
+            # Not the protocol's rule but the design's: tasks of a gang know each other by their attempt.
+            others = {self.world.workers[n].tasks[t]["try"] for t, p in self.where.items() for n in p
+                      if t.rpartition("/")[0] == uid and n in self.world.workers}
+            if others - {worker.tasks[task]["try"]}:
+                self.breach("mixed_gang", f"{task} starts under another attempt than the others")
         self.where[task].add(worker.name)
         self.starts[task].append(self.world.now_us)
         self._quota()
