bench plot: what bench fleet measured on one page, several runs beside each other

Need: growth by kind of message is read from lines of JSON; a drawing shows which kind grows, before and after. Change: `quinceslip bench plot FILE... -o PAGE` draws calls for a message over machines, a line for each file.

--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -60,6 +60,10 @@
     fleet.add_argument("--seconds", type=float, default=60.0, help="simulated seconds (60)")
     fleet.add_argument("--seed", type=int, default=1)
     fleet.set_defaults(act=bench_fleet)
+    drawn = benches.add_parser("plot", help="one HTML page of what `fleet` printed (needs requirements-plots.txt)")
+    drawn.add_argument("files", type=Path, nargs="+", metavar="FILE")
+    drawn.add_argument("-o", "--output", type=Path, required=True, metavar="FILE")
+    drawn.set_defaults(act=bench_plot)
     return made
 
 
@@ -79,6 +83,13 @@
     return 0 if bool(found.breach) == bool(arguments.without) else 1
 
 
+def bench_plot(arguments: argparse.Namespace) -> int:
+    from quinceslip.bench.plots import write_page
+
+    print(write_page(arguments.files, arguments.output))
+    return 0
+
+
 def bench_fleet(arguments: argparse.Namespace) -> int:
     import json
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,6 +10,7 @@
 import logging
 import operator
 import shlex
+import tempfile
 import tracemalloc
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -21,6 +22,7 @@
 import pytest
 
 from quinceslip.bench.fleet import measure
+from quinceslip.bench.plots import write_page
 from quinceslip.coordination.balance import (
     Station,
     choose_shard,
@@ -37,6 +39,7 @@
 from quinceslip.models.takeover import explore as takeover
 from quinceslip.models.takeover import read_steps
 from quinceslip.protocol import messages as m
+from quinceslip.protocol.settings import SettingsError
 from quinceslip.quota.model import explore
 from quinceslip.quota.plots import merged
 from quinceslip.storage import tasksets
@@ -647,7 +650,17 @@
     def do_fleet_work(self, plain: list[str], named: dict[str, Any]) -> None:
         """fleet_work SMALL LARGE seconds=S KIND=TIMES ...: calls for a message may grow by so much at the most"""
         seconds = float(named.pop("seconds"))
-        small, large = (measure(int(n), seconds, 1)["kinds"] for n in plain)
+        runs = [measure(int(n), seconds, 1) for n in plain]
+        small, large = (run["kinds"] for run in runs)
+        with tempfile.TemporaryDirectory() as folder:
+            lines, target = Path(folder) / "now.jsonl", Path(folder) / "page.html"
+            lines.write_text("\n".join(json.dumps(run) for run in runs), encoding="utf-8")
+            assert write_page([lines], target) == f"{target}: 2 runs, {len(large)} kinds of messages"
+            text = target.read_text(encoding="utf-8")
+            assert text.count("<svg") == 1 and all(f"{kind}: calls" in text for kind in large)
+            lines.write_text('{"machines": "many"}', encoding="utf-8")
+            with pytest.raises(SettingsError, match="line 1"):
+                write_page([lines], target)
         grown = {k: large[k]["calls_each"] / small[k]["calls_each"] for k in named}
         assert all(grown[k] <= named[k] for k in named), grown
 
