Pages of plots have one maker; the end of a session is asked about once

Need: read once more, the change wrote the page around a figure a second time, and both callers of `Custody.hear` ask whether a session is over before it asked again. Change: `quinceslip/drawing.py` serves the plots of quotas and of the fleet bench; `hear` leaves the question to those who answer. Behaviour as it was.

--- a/quinceslip/bench/plots.py
+++ b/quinceslip/bench/plots.py
@@ -4,14 +4,13 @@
 matplotlib draws (extra `plots`).
 """
 
-import html
-import io
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from quinceslip import drawing
 from quinceslip.protocol.settings import SettingsError
 
 Run = dict[str, Any]
@@ -35,31 +34,16 @@
 
 def write_page(paths: Sequence[Path], target: Path) -> str:
     """Draw calls of functions for a message over the number of machines; a line for each file."""
-    try:
-        import matplotlib
-
-        matplotlib.use("svg")
-        from matplotlib import pyplot
-    except ImportError as error:
-        raise SettingsError("plots need matplotlib: pip install -r requirements-plots.txt") from error
     files = {path.stem: read(path) for path in paths}
     kinds = sorted({kind for runs in files.values() for run in runs for kind in run["kinds"]})
-    figure, axes = pyplot.subplots(len(kinds), 1, figsize=(8, 1.9 * len(kinds) + 0.6), sharex=True, squeeze=False)
-    for axis, kind in zip(axes[:, 0], kinds, strict=True):
+    figure, axes = drawing.rows(len(kinds), 8)
+    for axis, kind in zip(axes, kinds, strict=True):
         for name, runs in files.items():
             known = [(r["machines"], r["kinds"][kind]["calls_each"]) for r in runs if kind in r["kinds"]]
             axis.plot([k[0] for k in known], [k[1] for k in known], marker="o", markersize=3, label=name)
         axis.set_title(f"{kind}: calls for a message", loc="left", fontsize=9)
         axis.set_ylim(bottom=0)
-    axes[0, 0].legend(loc="upper left", fontsize=7)
-    axes[-1, 0].set_xlabel("machines")
-    figure.tight_layout()
-    picture = io.StringIO()
-    figure.savefig(picture, format="svg")
-    pyplot.close(figure)
-    svg = picture.getvalue()
-    title = html.escape(", ".join(files))
-    target.write_text("<!doctype html><html lang=en><meta charset=utf-8><title>bench fleet</title>"
-                      f"<body style='font-family:sans-serif'><h1>Work of a controller</h1><p>{title}</p>"
-                      f"{svg[svg.index('<svg'):]}</body></html>", encoding="utf-8")
+    axes[0].legend(loc="upper left", fontsize=7)
+    axes[-1].set_xlabel("machines")
+    target.write_text(drawing.page(figure, "bench fleet", "Work of a controller", ", ".join(files)), encoding="utf-8")
     return f"{target}: {sum(map(len, files.values()))} runs, {len(kinds)} kinds of messages"
--- a/quinceslip/coordination/custody.py
+++ b/quinceslip/coordination/custody.py
@@ -48,9 +48,9 @@
         return worker.lost and report.session <= worker.session
 
     def hear(self, worker: Worker, report: m.WorkerReport) -> bool:
-        """Take what a worker says of itself; False where it is older than what is known."""
+        """Take what a worker says of itself, unless that is `over`; False where it is older than what is known."""
         now_us = self.ctx.now_us
-        if (report.session, report.seq) <= (worker.session, worker.seq) or self.over(worker, report):
+        if (report.session, report.seq) <= (worker.session, worker.seq):
             return False
         if report.session > worker.session:
             # A new session proves the end of what ran in those before, and nothing else: of an inherited worker
--- a/quinceslip/quota/plots.py
+++ b/quinceslip/quota/plots.py
@@ -3,8 +3,6 @@
 matplotlib draws (extra `plots`); controllers never import this.
 """
 
-import html
-import io
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -12,6 +10,7 @@
 
 import msgspec
 
+from quinceslip import drawing
 from quinceslip.protocol.settings import SettingsError
 from quinceslip.quota.tree import RESOURCES
 
@@ -70,18 +69,11 @@
 
 def page(samples: Sequence[dict[str, Any]], resource: str) -> str:
     """One HTML page: for every level its use against its guarantee and cap, and what waits."""
-    try:
-        import matplotlib
-
-        matplotlib.use("svg")
-        from matplotlib import pyplot
-    except ImportError as error:
-        raise SettingsError("plots need matplotlib: pip install -r requirements-plots.txt") from error
     names = [level["level"] for level in samples[-1]["levels"]]
     times = [sample["at_s"] for sample in samples]
     by_name = [{level["level"]: level for level in sample["levels"]} for sample in samples]
-    figure, axes = pyplot.subplots(len(names), 1, figsize=(9, 1.9 * len(names) + 0.6), sharex=True, squeeze=False)
-    for axis, name in zip(axes[:, 0], names, strict=True):
+    figure, axes = drawing.rows(len(names), 9)
+    for axis, name in zip(axes, names, strict=True):
         def series(key: str, name: str = name) -> list[float]:
             return [found.get(name, {}).get(key, {}).get(resource, 0.0) for found in by_name]
 
@@ -95,17 +87,9 @@
                 axis.axhline(last[key][resource], linestyle=style, color="black", linewidth=0.8, label=key)
         axis.set_title(f"{'    ' * last['depth']}{name}", loc="left", fontsize=9)
         axis.set_ylim(bottom=0)
-    axes[0, 0].legend(loc="upper right", fontsize=7)
-    axes[-1, 0].set_xlabel("seconds")
-    figure.tight_layout()
-    picture = io.StringIO()
-    figure.savefig(picture, format="svg")
-    pyplot.close(figure)
-    svg = picture.getvalue()
-    title = html.escape(f"{resource} of each level, {len(samples)} samples")
-    picture_only = svg[svg.index("<svg"):]
-    return ("<!doctype html><html lang=en><meta charset=utf-8><title>quotas</title>"
-            f"<body style='font-family:sans-serif'><h1>Quotas</h1><p>{title}</p>{picture_only}</body></html>")
+    axes[0].legend(loc="upper right", fontsize=7)
+    axes[-1].set_xlabel("seconds")
+    return drawing.page(figure, "quotas", "Quotas", f"{resource} of each level, {len(samples)} samples")
 
 
 def write_page(samples_path: Path, target: Path, resource: str) -> str:
