--- a/quinceslip/coordination/balancing.py
+++ b/quinceslip/coordination/balancing.py
@@ -93,12 +93,11 @@
         waiting: dict[int, int] = {}
         room: dict[int, int] = {}
         for name, record in self.ctx.view.by_kind["load"].items():
-            stations[int(name)] = balance.Station(record.slots, record.rate)
-            waiting[int(name)] = record.waiting
+            if name.isdecimal():
+                self._told(int(name), record, stations, waiting)
         for load in self.peer_loads():
-            stations[load.shard] = balance.Station(load.slots, load.rate)
-            waiting[load.shard] = load.waiting
-            room[load.shard] = load.room
+            if self._told(load.shard, load, stations, waiting):
+                room[load.shard] = load.room
         for shard in self.shards.values():
             slots, rate = shard.station()
             stations[shard.index] = balance.Station(slots, rate)
@@ -106,6 +105,17 @@
             room[shard.index] = shard.room()
         return stations, waiting, room
 
+    def _told(self, shard: int, load: records.LoadRecord | frames.ShardLoad, stations: dict[int, balance.Station],
+              waiting: dict[int, int]) -> bool:
+        """Take what was told of a shard's load; what nobody can have measured counts as a shard without machines."""
+        station = balance.Station(load.slots, load.rate)
+        if not 0 <= shard < self.ownership.size:
+            return False
+        good = load.slots == 0 or balance.credible(station)
+        stations[shard] = station if good else balance.NOTHING
+        waiting[shard] = max(0, load.waiting) if good else 0
+        return good
+
     def _record_load(self) -> None:
         if not self.ownership.entitled():
             return
@@ -130,7 +140,7 @@
         stations, _, _ = self._stations()
         if not stations:
             return
-        total = sum(r.arrivals for r in self.ctx.view.by_kind["load"].values())
+        total = sum(r.arrivals for r in self.ctx.view.by_kind["load"].values() if balance.credible_rate(r.arrivals))
         order = sorted(stations)
         levels = balance.fair_levels([stations[i] for i in order], total)
         self.levels = dict(zip(order, levels, strict=True))
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from quinceslip.coordination.balance import Station, credible, credible_rate
 from quinceslip.coordination.commands import PROBES
 from quinceslip.coordination.context import SECOND, Context, micros
 from quinceslip.coordination.effects import Urgency
@@ -211,10 +212,10 @@
     def _spare_part(self) -> float:
         """The part of what slots set free that new arrivals will not take themselves: 1 - rate / total m u."""
         loads = self.ctx.view.by_kind["load"].values()
-        capacity: float = sum(r.slots * r.rate for r in loads)
+        capacity = sum(s.capacity for r in loads if credible(s := Station(r.slots, r.rate)))
         if capacity <= 0:
             return ABSORBED
-        arrivals: float = sum(r.arrivals for r in loads)
+        arrivals: float = sum(r.arrivals for r in loads if credible_rate(r.arrivals))
         return min(ABSORBED, max(LEAST_ABSORBED, 1.0 - arrivals / capacity))
 
     def _absorbed(self, shard: Shard, part: float) -> float:
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -11,6 +11,7 @@
   types                the machine types, for nodes that start while the cloud is away
 """
 
+import logging
 from collections.abc import Mapping
 from typing import Any
 
@@ -19,6 +20,8 @@
 from quinceslip.protocol.messages import DONE, QUEUED, WITHDRAWN, Event, Item, JobSpec, MachineType
 from quinceslip.storage import tasksets
 
+log = logging.getLogger(__name__)
+
 PREFIX = "q/"
 TERM = PREFIX + "term"
 TYPES = PREFIX + "types"
@@ -112,6 +115,9 @@
     "roster": RosterRecord, "hire": HireRecord, "load": LoadRecord, "types": list[MachineType],
 }
 
+#: kinds that nothing rests on: one that can't be read is as good as none, and must not cost those beside it
+ADVISORY = frozenset({"load"})
+
 
 class View:
     """All records as this node knows them, with the stamp of each."""
@@ -139,7 +145,7 @@
         for key in changed:
             self._remove(key, ledger)
         for item in items:
-            if self.put(item.key, self._decode(item.key, item.value), item.stamp):
+            if self._take(item.key, item.value, item.stamp):
                 changed.append(item.key)
         self.ledger = max(self.ledger, ledger)
         self.loaded = True
@@ -150,7 +156,7 @@
         changed: list[str] = []
         for event in sorted(events, key=lambda e: e.stamp):
             if event.put is not None:
-                if self.put(event.put, self._decode(event.put, event.value), event.stamp):
+                if self._take(event.put, event.value, event.stamp):
                     changed.append(event.put)
             elif event.delete is not None and self.drop(event.delete, event.stamp):
                 changed.append(event.delete)
@@ -160,9 +166,15 @@
                 self.dropped.clear()
         return changed
 
-    def _decode(self, key: str, raw: msgspec.Raw) -> Any:
+    def _take(self, key: str, raw: msgspec.Raw, stamp: int) -> bool:
         kind = key.split("/")[1]
-        return msgspec.json.decode(raw, type=self.kinds.get(kind, msgspec.Raw))
+        try:
+            return self.put(key, msgspec.json.decode(raw, type=self.kinds.get(kind, msgspec.Raw)), stamp)
+        except msgspec.DecodeError as error:
+            if kind not in ADVISORY:
+                raise
+            log.info("%s can't be read, and counts as none: %s", key, error)
+            return self.drop(key, stamp)
 
     def put(self, key: str, value: Any, stamp: int) -> bool:
         # Own writes are applied when their answer comes, so the watch may bring them again,
