A controller whose actor stands still ends itself, to be started again

Need: an actor that does not come back from a message leaves a process that looks alive, answers nobody and is started again by nobody. The endless levels did that to all controllers at once, and nothing was in the log.

Change: package standstill (judge, notes: plain rules) and transport/watchdog, a second thread. An actor that makes no turn for a hold ends its process with status 75, after saying where it stands (its stack, faulthandler) and noting it in the state service. Told from a stopped process by late looks, which are not counted, and from one that waits for processor time by the actor's own time and place. Ends follow each other after 2^n leases; what the note names, levels or moves, rests for as long after the next start. Setting end_at_standstill, on; off, nothing of it is imported. Also: every loop of the actor says its bound and a scenario demands it; trees of quotas are 64 levels deep at the most; pages of a listing must come in order; an effect that fails no longer ends the actor's thread.

A test found that an actor which first works and then waits was never judged; mended.

--- a/quinceslip/coordination/balancing.py
+++ b/quinceslip/coordination/balancing.py
@@ -41,6 +41,7 @@
         self.next_balance_us = ctx.now_us + SECOND
         self.next_move_us = 0
         self.levels: dict[int, int] = {}
+        self.resting = False
         self.accepted_us: list[tuple[int, int]] = []  # when, how many tasks
 
     def tick(self) -> None:
@@ -53,7 +54,10 @@
             self._balance()
         if now_us >= self.next_move_us:
             self.next_move_us = now_us + SECOND
-            self._move_waiting()
+            self.ctx.part = "moves"
+            # What it stood still in is left out for a while (docs/standstill.md): work waits where it was accepted.
+            if not self.ctx.rests("moves"):
+                self._move_waiting()
 
     def accepted(self, spec: m.JobSpec) -> None:
         """Arrivals are the rate of the model. Services never finish, and are no part of m and u either."""
@@ -138,8 +142,18 @@
 
     def _balance(self) -> None:
         stations, _, _ = self._stations()
-        if not stations:
+        # Before the first listing it is not known whether the levels rest.
+        if not stations or not self.ctx.view.loaded:
             return
+        resting, self.resting = self.resting, self.ctx.rests("levels")
+        if resting != self.resting:
+            log.info("this controller stood still in the levels: %s",
+                     "the levels rest for a while, each is m" if self.resting else "the levels are solved again")
+        if self.resting:
+            # The same records would be solved again at once: for a while each level is m, as without an answer.
+            self.levels = {i: s.slots for i, s in stations.items()}
+            return
+        self.ctx.part = "levels"
         total = sum(r.arrivals for r in self.ctx.view.by_kind["load"].values() if balance.credible_rate(r.arrivals))
         order = sorted(stations)
         levels = balance.fair_levels([stations[i] for i in order], total)
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -9,6 +9,7 @@
 from quinceslip.coordination.effects import UNKNOWN, Answer, Call, Effect, Reply, Urgency
 from quinceslip.protocol import messages
 from quinceslip.protocol.settings import Settings, Team, Tuning
+from quinceslip.standstill import notes
 from quinceslip.storage.records import View
 
 log = logging.getLogger(__name__)
@@ -69,6 +70,8 @@
         self.timeout_us = micros(tuning.request_timeout_s)
         self.quick_types: set[str] = set()
         self.teams = {t.name: t for t in settings.facts.teams}
+        self.part = ""  # of the tick, while it runs: where the actor is, for whoever sees it stand still
+        self.keys_synced = 0
 
     @property
     def wall_us(self) -> int:
@@ -78,6 +81,15 @@
         """Whether services start there soon enough; any type is, where none is quick."""
         return kind is not None and (not self.quick_types or kind.label in self.quick_types)
 
+    def rests(self, part: str) -> bool:
+        """Whether this controller stood still in that part so lately that it is left out (`standstill.notes`)."""
+        note = self.view.by_kind["standstill"].get(self.settings.label)
+        return notes.rests(note, part, self.wall_us, self.timing.lease_us)
+
+    def steps(self) -> int:
+        """Grows while a long message is taken: a listing of all records is no standstill."""
+        return self.view.taken + self.keys_synced
+
     def team(self, name: str) -> Team | None:
         return self.teams.get(name)
 
--- a/quinceslip/coordination/foresight.py
+++ b/quinceslip/coordination/foresight.py
@@ -21,6 +21,7 @@
     for priority in sorted({c.priority for c in chunks}):
         rest = [c for c in chunks if c.priority == priority]
         level = 0
+        # Bound: the most due times of a job; beyond the last of them nothing is put back any more.
         while rest:
             kept, rest, ahead = _on_time(rest, level, cpus_per_s, wall_us, ahead)
             for chunk in kept:
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -97,6 +97,7 @@
 
     def _changed(self, keys: Iterable[str]) -> None:
         for key in keys:
+            self.ctx.keys_synced += 1
             kind, name = records.View.split(key)
             if kind == "job":
                 for shard in self.shards.values():
@@ -136,12 +137,16 @@
 
     def _tick(self) -> None:
         """Every part on its own: a defect in one of them costs that part its turn and nothing else."""
-        for part in (self.ownership.tick, self._tick_shards, self.provision.tick, self._tick_beat, self.balancer.tick,
-                     self._tick_seldom, *(s.tick for s in self.subsystems), self.users.tick):
+        for name, part in (("rights", self.ownership.tick), ("shards", self._tick_shards),
+                           ("machines", self.provision.tick), ("beat", self._tick_beat),
+                           ("balance", self.balancer.tick), ("peers", self._tick_seldom),
+                           *((type(s).__name__, s.tick) for s in self.subsystems), ("users", self.users.tick)):
+            self.ctx.part = name
             try:
                 part()
             except Exception:
                 log.exception("a part of the tick failed")
+        self.ctx.part = ""
 
     def _tick_shards(self) -> None:
         for shard in list(self.shards.values()):
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -203,6 +203,7 @@
         stuck = False
         try:
             for worker in self._preferred(chunk, roomy):
+                # Bound: the tasks that wait; each turn takes one out of them, and those put aside come back after it.
                 while chunk.pending and fits(worker.free(), spec):
                     if not self._allows(chunk, whole):
                         return
@@ -215,6 +216,7 @@
                     self._launch(chunk, index, worker)
                 if not chunk.pending:
                     return
+            # Bound: the same.
             while whole and chunk.pending and self._allows(chunk, whole, machines, True):
                 spare = self._make_room(chunk, machines, None, False)
                 if spare is None:
@@ -237,6 +239,7 @@
         if self._hopeless(chunk, self.everywhere, failed, False):
             return  # nowhere at all, so it need not be known which zones are left
         aside = self._paused(chunk)
+        # Bound: the tasks that wait; each turn launches one.
         while chunk.pending and self._allows(chunk, whole):
             zones = self.zones_for(chunk)
             if (zones is not None and not zones) or self._hopeless(chunk, zones, failed, False):
@@ -315,6 +318,7 @@
         order = self.orders.get(shape)
         if order is None:
             order = self.orders[shape] = deque(self._by_preference(chunk, workers, None))
+        # Bound: the machines in order; each turn drops one.
         while order and not fits(order[0].free(), spec):
             order.popleft()
         return order
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -153,6 +153,7 @@
                         zones is not None and zone not in zones) or (
                         spec.types is not None and kind.label not in spec.types):
                     continue
+                # Bound: the tasks that wait, also where one of them takes nothing.
                 while waiting and fits((room[0], room[1], room[2]), spec):
                     room[0] -= spec.cpus
                     room[1] -= spec.gpus
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -144,6 +144,7 @@
                       worker.type.label if worker.type else "?", (self.ctx.now_us - attempt.sent_us) / SECOND)
         worker.images.pop(attempt.spec.image, None)
         worker.images[attempt.spec.image] = attempt.spec.image_gb
+        # Bound: the images on the machine; each turn forgets one.
         while worker.type and len(worker.images) > 1 and sum(worker.images.values()) > worker.type.cache_gb > 0:
             del worker.images[next(iter(worker.images))]  # the machine keeps the most recently used
 
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -145,6 +145,7 @@
             heapq.heappush(self._heap, index)
 
     def peek(self) -> int:
+        # Bound: the heap; each turn takes one off it, and an empty one raises.
         while self._heap[0] not in self.members:
             heapq.heappop(self._heap)
         return self._heap[0]
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -147,6 +147,7 @@
                 self.behind.append((ledger, waiting))
                 self.caught_up()
             if self.polls and not self.barrier_busy:
+                # Bound: each is called by an answer of the state service, so none is within another.
                 self._barrier()
 
         self.ctx.call("state", "GET", f"{m.PATH_KV}/{records.NOTHING}", None, done, timeout_us=SECOND)
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -101,6 +101,7 @@
     request_timeout_s: Positive = 1.5
     idle_return_factor: Positive = 1.3
     hire_fraction: Annotated[float, Meta(gt=0, le=2)] = 0.8
+    end_at_standstill: bool = True
     log_level: str = ""
 
 
--- a/quinceslip/quota/config.py
+++ b/quinceslip/quota/config.py
@@ -28,6 +28,8 @@
 #: a level's name is part of a record's key
 MOST_NAME_BYTES = 150
 MOST_WEIGHT = 1e6
+#: levels on a path: passes go down the tree by recursion
+MOST_DEEP = 64
 
 
 class _Reader:
@@ -122,6 +124,7 @@
             if level.parent and self.levels[level.parent].team:
                 raise self.error(section, "parent", f"{level.parent} is a team, which has none beneath it")
             seen = [name]
+            # Bound: MOST_DEEP; a circle is found before.
             while self.levels[seen[-1]].parent:
                 parent = self.levels[seen[-1]].parent
                 if parent in seen:
@@ -129,6 +132,8 @@
                 if parent not in self.levels:
                     break
                 seen.append(parent)
+                if len(seen) > MOST_DEEP:
+                    raise self.error(section, "parent", f"more than {MOST_DEEP} levels lie on its path")
         parents = {level.parent for level in self.levels.values()}
         for name, level in self.levels.items():
             if not level.team and name not in parents:
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -159,6 +159,7 @@
                 # No machine has room either: what stops must leave room for a task on one of them.
                 left = len(chunk.pending) // count
                 for worker in workers:
+                    # Bound: the tasks that wait, in lots of `count`.
                     while left > 0 and self.make_room(spec, count, 1, machine=worker):
                         left -= 1
 
--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -206,6 +206,7 @@
                if any(short := self._beyond_pool(index, purse, lack))}
         record = WantRecord(wanted, dict(list(own.items())[:MOST_CLAIMS])) if wanted or own else None
         most_bytes = self.ctx.settings.facts.state.value_kb * 1000
+        # Bound: the claims; each turn drops one.
         while record is not None and record.claims and len(msgspec.json.encode(record)) > most_bytes:
             record.claims.pop()  # deep trees with long names: the rest comes when these are met
         key = keys.want_key(index)
@@ -362,6 +363,7 @@
             return
         moves: list[tuple[Purse, Move]] = []
         grants = self.ctx.view.by_kind[keys.GRANT]
+        # Bound: the levels of the tree.
         while self.refreshed < len(levels) and len(moves) + 2 <= self._most():
             level = levels[self.refreshed]
             for kind, get in ((keys.CAP, self.purses.cap), (keys.OWN, self.purses.own)):
--- a/quinceslip/quota/rounds.py
+++ b/quinceslip/quota/rounds.py
@@ -81,6 +81,7 @@
         Turn by turn twice as many, so that room which only few can use is given out in few turns.
         """
         most = 1
+        # Bound: the tasks that wait; a turn in which none of them starts is the last.
         while self.held_back and self._free(workers, least_cpus):
             rest = self._fairest(c for c in chunks if c.pending and not c.held)
             self.held_back = False
@@ -119,7 +120,10 @@
 
     def _divide(self, siblings: list[int], capacity: Amounts, taken: Amounts, need: dict[int, Amounts],
                 targets: dict[int, Amounts]) -> None:
-        """Divide a parent's capacity, less what others beneath it use, between the siblings that want more."""
+        """Divide a parent's capacity, less what others beneath it use, between the siblings that want more.
+
+        Bound: as deep as the tree, which its settings limit (`config.MOST_DEEP`).
+        """
         room = positive(add(capacity, taken, -1))
         wants = [(self.tree.levels[level].weight, _share(self.own(level), room), _share(need[level], room))
                  for level in siblings]
--- a/quinceslip/quota/tree.py
+++ b/quinceslip/quota/tree.py
@@ -89,6 +89,7 @@
         for level in rest.values():
             beneath.setdefault(level.parent, []).append(level)
         ready = beneath.get("", [])
+        # Bound: the levels; each is beneath one other and comes up once.
         while ready:
             level = ready.pop(0)
             level.index = len(self.levels)
@@ -131,6 +132,7 @@
         if not mine or not theirs or one == other:
             return None
         place = 1
+        # Bound: the shorter of the two paths.
         while place <= min(len(mine), len(theirs)) and mine[-place] == theirs[-place]:
             place += 1
         return mine[-place], theirs[-place]
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -56,6 +56,13 @@
                                 lambda beat: void(self.actor.post(PeerSaid(beat))))
         timing = Timing(settings)
         self.actor.start()
+        if tuning.end_at_standstill:
+            from quinceslip.transport.watchdog import Watchdog
+
+            # The hold: until then nothing is lost, from then on a peer has the shards anyway. A third of a lease.
+            Watchdog(settings.label, self.actor.thread, lambda: self.actor.turns + node.ctx.steps(),
+                     lambda: node.ctx.part or self.actor.doing, timing.hold_us, timing.lease_us,
+                     split_address(settings.outside.state))
         self.watch = Watch(settings.outside.state, post, min(timing.hold_us // 4, SECOND),
                            pause_us=int(SECOND * facts.size * 4 / facts.state.rps))
 
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -8,6 +8,7 @@
   roster/<worker>      the shard a worker belongs to, written before the first launch on it
   hire/<name>          a rental request that is about to be made
   load/<n>             the load of shard n, recorded every few seconds
+  standstill/<label>   where the actor of that controller last stood still, and how often in a row
   types                the machine types, for nodes that start while the cloud is away
 """
 
@@ -110,13 +111,20 @@
     room: int = 0
 
 
+class StandstillRecord(msgspec.Struct):
+    part: str
+    times: int
+    at_us: int  # wall clock
+
+
 KINDS: dict[str, Any] = {
     "term": TermRecord, "shard": ShardRecord, "job": JobRecord, "part": Chunk,
     "roster": RosterRecord, "hire": HireRecord, "load": LoadRecord, "types": list[MachineType],
+    "standstill": StandstillRecord,
 }
 
 #: kinds that nothing rests on: one that can't be read is as good as none, and must not cost those beside it
-ADVISORY = frozenset({"load"})
+ADVISORY = frozenset({"load", "standstill"})
 
 
 class View:
@@ -126,6 +134,7 @@
         self.kinds: dict[str, Any] = dict(KINDS)
         self.loaded = False
         self.ledger = 0
+        self.taken = 0  # records so far: a long listing is one message, and no standstill
         self.stamps: dict[str, int] = {}
         self.by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in KINDS}
         self.dropped: dict[str, int] = {}
@@ -167,6 +176,7 @@
         return changed
 
     def _take(self, key: str, raw: msgspec.Raw, stamp: int) -> bool:
+        self.taken += 1
         kind = key.split("/")[1]
         try:
             return self.put(key, msgspec.json.decode(raw, type=self.kinds.get(kind, msgspec.Raw)), stamp)
--- a/quinceslip/storage/watch.py
+++ b/quinceslip/storage/watch.py
@@ -29,6 +29,7 @@
 
     def _run(self) -> None:
         ledger: int | None = None
+        # Bound: none, it is this thread's life.
         while True:
             try:
                 ledger = self._list() if ledger is None else self._poll(ledger)
@@ -48,6 +49,7 @@
         asked_us = steady_us()
         first: int | None = None
         after = ""
+        # Bound: the keys there are; they come in order, so each page begins beyond the one before.
         while True:
             status, body = self._get(m.list_path(PREFIX, after), 2.0)
             if status != 200:
@@ -59,6 +61,9 @@
             items += page.items
             if not page.more or not page.items:
                 break
+            if page.items[-1].key <= after:
+                log.error("state service lists %s after %s", page.items[-1].key, after)
+                return None
             after = page.items[-1].key
         self.post(ViewReset(items, first, asked_us))
         return first
--- a/quinceslip/transport/actor.py
+++ b/quinceslip/transport/actor.py
@@ -24,6 +24,8 @@
         self.most = inbox
         # Answers are a few for each call, and calls are bounded; only requests can come without end.
         self.inbox: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self.turns = 0  # messages taken; while idle, one for each beat
+        self.doing = ""
         self.thread = threading.Thread(target=self._run, name="actor", daemon=True)
 
     def start(self) -> None:
@@ -44,6 +46,7 @@
     def _run(self) -> None:
         next_us = steady_us()
         taken = 0
+        # Bound: none, it is the actor's life; whether it turns is watched (`transport/watchdog`).
         while True:
             now_us = steady_us()
             message: Any
@@ -60,6 +63,8 @@
                         continue
                     message = Settle()
             taken = 0 if isinstance(message, Settle) else taken + 1
+            self.turns += 1
+            self.doing = type(message).__name__
             try:
                 effects = self.handle(message, steady_us())
             except Exception:
@@ -67,4 +72,8 @@
                 log.exception("while handling %s", type(message).__name__)
                 continue
             for effect in effects:
-                self.carry_out(effect)
+                try:
+                    self.carry_out(effect)
+                except Exception:
+                    # An actor's thread that has ended is a controller that does nothing and looks alive.
+                    log.exception("while carrying out %s", type(effect).__name__)
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -139,6 +139,9 @@
             ("parent = guild\ncpus = 6", "parent = nowhere\ncpus = 6", r"\[quota member\] parent = nowhere"),
             ("parent = guild\ncpus = 6", "parent = third\ncpus = 6", r"parent = third: third is a team"),
             ("teams = spare", "", r"\[quota other\]: other is neither a team"),
+            ("teams = team", "teams = team" + "".join(
+                f"\n[quota deep{n}]\nparent = {f'deep{n - 1}' if n else 'member'}" for n in range(70)),
+             r"\[quota deep62\] parent = .*more than 64 levels"),
             ("cpus_max = 20", "cpus_max = much", r"\[quota guild\] cpus_max = much: must be a number"),
             ("cpus_max = 20", "cpus_most = 20", r"\[quota guild\] cpus_most = 20: unknown key"),
             ("cpus = 4", "weight = 0", r"\[quota other\] weight = 0: must be a number")):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from quinceslip.transport.watchdog import STATUS
 from tests.inputs import ROOT, settings_text
 from tests.world import job_spec
 
@@ -84,6 +85,9 @@
                 items = [{"k": k, "v": v, "stamp": s} for k, (v, s) in sorted(self.data.items())]
                 return 200, {"items": items, "hasNext": False, "ledger": self.ledger}
             if path.startswith("/kv/"):
+                found = self.data.get(path.removeprefix("/kv/"))
+                if found is not None:
+                    return 200, {"k": path.removeprefix("/kv/"), "v": found[0], "stamp": found[1]}
                 return 404, {"ledger": self.ledger}
             if path == "/flavors":
                 return 200, {"builds": [{"label": "m", "vcpus": 16, "gpus": 0, "memGb": 64, "price": 1.0,
@@ -138,14 +142,134 @@
             process.wait(10)
 
 
-def _serve(process: subprocess.Popen[bytes], port: int) -> None:
-    def ready() -> bool:
+#: a controller whose levels are never solved while a file is there
+NEVER_SOLVED = """
+import os, sys, threading
+sys.path[:0] = [{root!r}, {deps!r}]
+from quinceslip.coordination import balance
+solved = balance.fair_levels
+def fair_levels(stations, total):
+    while os.path.exists({mark!r}):
+        if os.path.getsize({mark!r}):
+            threading.Event().wait()
+    return solved(stations, total)
+balance.fair_levels = fair_levels
+from quinceslip.cli import main
+sys.exit(main(sys.argv[1:]))
+"""
+
+
+def standstill() -> None:
+    """The actor of a real process stands still and is ended; a process that was only stopped is not."""
+    outside = Outside()
+    port = _free_port()
+    with tempfile.TemporaryDirectory() as folder:
+        config, own, mark = Path(folder) / "service.toml", Path(folder) / "own.ini", Path(folder) / "mark"
+        lease_s, hold_s = 6.0, 2.0
+        config.write_text(settings_text(api=port, peer=_free_port(), cloud=outside.port, state=outside.port).replace(
+            "lease_s = 10.0", f"lease_s = {lease_s}"))
+        own.write_text("[quinceslip]\nbalance_period_s = 0.3\n")
+        log = (Path(folder) / "log").open("wb")
+        script = NEVER_SOLVED.format(root=str(ROOT), deps=str(ROOT / "target" / "deps"), mark=str(mark))
+
+        def start() -> subprocess.Popen[bytes]:
+            return subprocess.Popen([sys.executable, "-c", script, "run", "--config", str(config), "--operator-config",
+                                     str(own)], env={**os.environ, "LOG_LEVEL": "info"}, stderr=log)
+
+        process = start()
+        try:
+            worker = Worker(port)
+            _wait(lambda: _ready(port))
+            worker.runs("req-000001")
+            # Stopped for less than the limit, and for more: each time it goes on as it was.
+            for stopped_s in (hold_s / 2, 2.5 * hold_s):
+                process.send_signal(signal.SIGSTOP)
+                time.sleep(stopped_s)
+                process.send_signal(signal.SIGCONT)
+                worker.runs(f"req-1{int(10 * stopped_s):05d}")
+            time.sleep(hold_s)
+            assert process.poll() is None
+            # Now the actor stands still in earnest: ended with its own status, after the limit and two calls.
+            _wait(lambda: _ask(port, "POST", "/v1/jobs", job_spec("req-000002"))[0] in (200, 201))
+            mark.touch()
+            begun = time.monotonic()
+            status = process.wait(20)
+            took_s = time.monotonic() - begun
+            assert status == STATUS and hold_s <= took_s < hold_s + 3.0, (status, took_s)
+            # Whatever runs it starts it again. The same records are still there, and are not solved at once.
+            process = start()
+            _wait(lambda: _ready(port))
+            worker.runs("req-000002")
+            worker.runs("req-000003")
+            assert process.poll() is None
+            mark.unlink()
+            # The pause over, the levels are solved again.
+            assert outside.data["q/standstill/berth-0"][0]["times"] == 1
+            _wait(lambda: "the levels are solved again" in (Path(folder) / "log").read_text(encoding="utf-8"))
+            assert time.monotonic() > begun + took_s + 2 * lease_s - 1.0
+            assert _ready(port) and process.poll() is None
+            # It stands still again, waiting for nothing now: the second time in a row.
+            mark.write_text("waits")
+            begun = time.monotonic()
+            status = process.wait(20)
+            assert status == STATUS and hold_s <= time.monotonic() - begun < hold_s + 3.0, status
+            assert outside.data["q/standstill/berth-0"][0]["times"] == 2
+        finally:
+            process.send_signal(signal.SIGKILL)
+            process.wait(10)
+            log.close()
+        said = (Path(folder) / "log").read_text(encoding="utf-8")
+        assert said.count("the actor stands still: it has worked for ") == 1, said[-2000:]
+        assert said.count("the actor stands still: it waits at one place") == 1, said[-2000:]
+        assert "(levels), at" in said and ", in fair_levels" in said and "most recent call first" in said
+        assert said.count("the levels rest") == 1 and said.count("the levels are solved again") == 1, said[-2000:]
+
+
+def _ready(port: int) -> bool:
+    try:
+        return _ask(port, "GET", "/ready")[0] == 200
+    except OSError:
+        return False
+
+
+class Worker:
+    """One machine that reports, and is done with each task at once."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.tasks: list[dict[str, Any]] = []
+        self.tick = self.baton = 0
+
+    def report(self) -> None:
+        self.tick += 1
         try:
-            return _ask(port, "GET", "/ready")[0] == 200
+            status, answer = _ask(self.port, "POST", "/hello", {
+                "berth": "n-000001", "endpoint": "127.0.0.1:1", "build": "m", "yard": "a", "loaners": False,
+                "stint": 1, "tick": self.tick, "baton": self.baton, "warningS": None, "picks": self.tasks})
         except OSError:
-            return False
+            return
+        if status != 200:
+            return
+        self.baton = answer["baton"]
+        for order in answer["orders"]:
+            if order["verb"] == "launch" and not any(t["pick"] == order["pick"] for t in self.tasks):
+                self.tasks.append({"pick": order["pick"], "try": order["try"], "status": "exited", "cause": "done"})
+            elif order["verb"] == "reap":
+                self.tasks = [t for t in self.tasks if t["pick"] != order["pick"]]
 
-    _wait(ready)
+    def runs(self, uid: str) -> None:
+        """Submit a job, report until it is done."""
+        _wait(lambda: _ask(self.port, "POST", "/v1/jobs", job_spec(uid))[0] in (200, 201))
+
+        def done() -> bool:
+            self.report()
+            return bool(_ask(self.port, "GET", f"/v1/jobs/{uid}")[1].get("status") == "done")
+
+        _wait(done)
+
+
+def _serve(process: subprocess.Popen[bytes], port: int) -> None:
+    _wait(lambda: _ready(port))
     uid = "req-000007"
     spec = job_spec(uid)
     _wait(lambda: _ask(port, "POST", "/v1/jobs", spec)[0] in (200, 201))
@@ -173,29 +297,7 @@
         connection.sendall(b"POST /hello HTTP/1.1\r\nContent-Le")
         slow.append(connection)
     # A worker appears, is told to launch the task, and reports it done.
-    tasks: list[dict[str, Any]] = []
-    tick = 0
-
-    def report() -> dict[str, Any]:
-        nonlocal tick
-        tick += 1
-        status, answer = _ask(port, "POST", "/hello", {
-            "berth": "n-000001", "endpoint": "127.0.0.1:1", "build": "m", "yard": "a", "loaners": False,
-            "stint": 1, "tick": tick, "baton": baton, "warningS": None, "picks": tasks})
-        return answer if status == 200 else {"baton": baton, "orders": []}
-
-    baton = 0
-    for _ in range(50):
-        answer = report()
-        baton = answer["baton"]
-        for order in answer["orders"]:
-            if order["verb"] == "launch" and not tasks:
-                tasks.append({"pick": order["pick"], "try": order["try"], "status": "exited", "cause": "done"})
-            elif order["verb"] == "reap":
-                tasks = [t for t in tasks if t["pick"] != order["pick"]]
-        if _ask(port, "GET", f"/v1/jobs/{uid}")[1]["status"] == "done":
-            break
-        time.sleep(0.2)
+    Worker(port).runs(uid)
     assert _ask(port, "GET", f"/v1/jobs/{uid}")[1]["status"] == "done"
     assert _ask(port, "POST", f"/v1/jobs/{uid}/cancel")[1]["status"] == "done"
     shown = subprocess.run([sys.executable, str(ROOT / "run.py"), "quota", "show", "--from", f"127.0.0.1:{port}",
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,12 +6,14 @@
 `broken RULE`, which shows that the checker catches the breach of that rule.
 """
 
+import ast
 import json
 import logging
 import operator
 import shlex
 import signal
 import tempfile
+import time
 import tracemalloc
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -46,12 +48,15 @@
 from quinceslip.protocol.settings import SettingsError
 from quinceslip.quota.model import explore
 from quinceslip.quota.plots import merged
+from quinceslip.standstill import notes
+from quinceslip.standstill.judge import Judge, Look
 from quinceslip.storage import tasksets
-from quinceslip.storage.records import JobRecord, View
+from quinceslip.storage.records import JobRecord, StandstillRecord, View
+from quinceslip.transport.actor import ActorThread
 from quinceslip.transport.clients import Budget, Pool
 from tests.checker import Checker
-from tests.inputs import bad_input
-from tests.loopback import loopback
+from tests.inputs import ROOT, bad_input
+from tests.loopback import loopback, standstill
 from tests.world import US, World, job_spec
 
 COMPARE = {"==": operator.eq, "<=": operator.le, ">=": operator.ge}
@@ -671,6 +676,78 @@
         tracemalloc.stop()
         assert len(view.by_kind["job"]) == count and used < float(plain[0]), used
 
+    def do_standstill(self, plain: list[str], named: dict[str, Any]) -> None:
+        """standstill KIND [limit=S] [gap=S] [share=P] [for=S] after=S|never: when an actor is judged to stand still
+
+        KIND: works (its place changes), waits (it does not, from `settles` on), blind (as `works`, but its
+        processor time is not known).
+        `share`: its own processor time in a second. `gap`: the looks come so late, every time; `stop=S` once.
+        """
+        limit_us, share = int(named.get("limit", 3) * US), float(named.get("share", plain[0] != "waits"))
+        judge = Judge(limit_us, 0)
+        now_us, cpu_us, found = 0, 0, None
+        for number in range(100_000):
+            passed_us = judge.period_us + int(named.get("gap", 0) * US)
+            if number == 10:
+                passed_us += int(named.get("stop", 0) * US)
+            now_us += passed_us
+            cpu_us += int(share * min(passed_us, judge.period_us if number == 10 else passed_us))
+            turns = now_us // int(named["turn"] * US) if "turn" in named else 0
+            place = (1, 1) if plain[0] == "waits" and now_us >= named.get("settles", 0) * US else (number, 2)
+            if judge.look(Look(now_us, turns, None if plain[0] == "blind" else cpu_us, place)):
+                found = now_us / US
+                break
+            if now_us > named.get("for", 600) * US:
+                break
+        if named["after"] == "never":
+            assert found is None, found
+        else:
+            assert found == pytest.approx(named["after"], abs=0.2 * named.get("limit", 3)), found
+
+    def do_standstills_in(self, plain: list[str], named: dict[str, Any]) -> None:
+        """standstills_in HOURS lease=S back=S ends=N: a process that stands still at once, each time it is started"""
+        lease_us, now_us, ends = int(named["lease"] * US), 0, 0
+        note: StandstillRecord | None = None
+        while (now_us := max(now_us + int(named["back"] * US), notes.next_end_us(note, lease_us))) < \
+                float(plain[0]) * 3600 * US:
+            note, ends = notes.following(note, "levels", now_us, lease_us), ends + 1
+            assert notes.rests(note, "levels", now_us + lease_us, lease_us)
+            assert not any(notes.rests(note, part, now_us, lease_us) for part in ("moves", "rights"))
+        assert ends <= named["ends"], ends
+        assert note is not None and note.times == ends
+        later_us = now_us + 3 * notes.pause_us(ends, lease_us)
+        assert notes.following(note, "levels", later_us, lease_us).times == 1  # long ago: it starts anew
+
+    def do_loopback_standstill(self, plain: list[str], named: dict[str, Any]) -> None:
+        standstill()
+
+    def do_actor_goes_on(self, plain: list[str], named: dict[str, Any]) -> None:
+        """actor_goes_on: neither a message nor an effect that fails ends the actor's thread"""
+        self.errors_expected.append("while ")
+        seen: list[Any] = []
+
+        def carry_out(effect: Any) -> None:
+            seen.append(effect)
+            raise ValueError("no such target")
+
+        actor = ActorThread(lambda message, now_us: [message], carry_out, 20_000, 10)
+        actor.start()
+        with at_once(10.0):
+            while len(seen) < 20 or actor.turns < 20:
+                time.sleep(0.01)
+        assert actor.thread.is_alive()
+        actor.handle, actor.beat_us = lambda message, now_us: [], 10**12  # it sleeps from here on
+
+    def do_bounded_loops(self, plain: list[str], named: dict[str, Any]) -> None:
+        """bounded_loops PATH...: each `while` and each function that calls itself says what bounds it"""
+        for path in sorted(p for pattern in plain for p in (ROOT / "quinceslip").glob(pattern)):
+            text = path.read_text(encoding="utf-8")
+            loops = unbounded(text)
+            assert not loops, f"{path.name}: no bound is said at {loops}"
+        assert unbounded("x = 1\nwhile x:\n    x += 1\n") == [2]
+        assert unbounded("def f(x):\n    return f(x)\n") == [1]
+        assert unbounded("# Bound: x falls.\nwhile x:\n    x -= 1\n") == []
+
     def do_model(self, plain: list[str], named: dict[str, Any]) -> None:
         """model [without=GUARD] [depth=N] [only=STEP,...]: a breach is found exactly where a guard is left out"""
         result = explore(named.get("depth", 8), controllers=named.get("controllers", 2),
@@ -739,6 +816,23 @@
     return runner
 
 
+def unbounded(source: str) -> list[int]:
+    """Lines of loops and recursions beside which no comment or docstring begins with `Bound:`."""
+    lines, found = source.splitlines(), []
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.While):
+            first, last = max(0, node.lineno - 3), node.lineno
+        elif isinstance(node, ast.FunctionDef) and any(
+                isinstance(call, ast.Call) and (ast.unparse(call.func) in (node.name, f"self.{node.name}"))
+                for call in ast.walk(node)):
+            first, last = node.lineno - 1, node.end_lineno or node.lineno
+        else:
+            continue
+        if not any("Bound: " in line for line in lines[first:last]):
+            found.append(node.lineno)
+    return found
+
+
 @contextmanager
 def at_once(seconds: float) -> Iterator[None]:
     """What takes longer fails instead of hanging the suite: it has a bound in steps, of which this is no measure."""
