A lost hold or shard is news, not an error of ours

Change: both are INFO. An exception in the watchdog is logged with its traceback, which another thread does not have by itself.

--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -109,7 +109,7 @@
             if status == 200:
                 self.hold_sent_us = sent_us
             elif status == 404:
-                log.error("hold %d has ended; shards %s are no longer ours", hold, sorted(self.terms))
+                log.info("hold %d has ended; shards %s are no longer ours", hold, sorted(self.terms))
                 self.hold = None
                 for shard in list(self.terms):
                     self._drop(shard)
@@ -186,7 +186,7 @@
         stamp = self.ctx.view.stamp(records.shard_key(shard))
         if shard in self.stamps and stamp != self.stamps[shard] and not (
                 self.claiming and record is not None and record.owner == self.ctx.settings.label):
-            log.error("shard %d was taken from us by %s", shard, record.owner if record else "nobody yet")
+            log.info("shard %d was taken from us by %s", shard, record.owner if record else "nobody yet")
             self._drop(shard)
 
     def owner(self, shard: int) -> str | None:
--- a/quinceslip/transport/watchdog.py
+++ b/quinceslip/transport/watchdog.py
@@ -12,6 +12,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from functools import partial
 from types import FrameType
 
 import msgspec
@@ -60,8 +61,8 @@
                 how = self.judge.look(self._seen(turns, before)) if self.thread.is_alive() else "has ended"
                 if how and steady_us() >= self.not_before_us:
                     self._stands_still(how, turns)
-            except Exception:
-                self._say(lambda: log.exception("watchdog"))
+            except Exception as error:
+                self._say(partial(log.error, "watchdog", exc_info=error))
 
     def _frame(self) -> FrameType | None:
         return sys._current_frames().get(self.thread.ident or 0)
--- a/tests/test_random_days.py
+++ b/tests/test_random_days.py
@@ -17,8 +17,6 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 days = settings(deadline=None, database=None, suppress_health_check=list(HealthCheck), report_multiple_bugs=False)
 
-#: these say what an operator should look into, and are true on such days
-TRUE_ERRORS = "errors has ended; shards\nerrors was taken from us by\n"
 OWNERS = ["berth-0", "berth-1", "berth-2", "berth-0 berth-1 berth-2"]
 
 
@@ -85,4 +83,4 @@
 @given(overlapping_days())
 @days
 def test_troubles_that_overlap(day: str) -> None:
-    play(TRUE_ERRORS + day)
+    play(day)
