--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -38,14 +38,15 @@
     shares,
     wait_probability,
 )
-from quinceslip.coordination.effects import Call, PeerSaid, Urgency
+from quinceslip.coordination.effects import Call, PeerSaid, Urgency, ViewReset
 from quinceslip.coordination.foresight import foresee
+from quinceslip.coordination.node import Node
 from quinceslip.coordination.state import Chunk
 from quinceslip.models.takeover import explore as takeover
 from quinceslip.models.takeover import read_steps
 from quinceslip.protocol import messages as m
 from quinceslip.protocol.frames import HEADER, Beat, ShardLoad, pack_beat, read_beat
-from quinceslip.protocol.settings import SettingsError
+from quinceslip.protocol.settings import Settings, SettingsError, Tuning
 from quinceslip.quota.model import explore
 from quinceslip.quota.plots import merged
 from quinceslip.standstill import notes
@@ -343,9 +344,10 @@
         self.w().state.answer("", "POST", "/txn", {"if": [], "then": [{"write": f"q/load/{args[0]}", "v": record}]})
 
     def on_load_told(self, args: list[str], named: dict[str, Any]) -> None:
-        """load_told NAME SHARD slots=N rate=R: a peer's frame tells every other controller so; twice a second"""
-        load = ShardLoad(int(args[1]), 0, named.get("slots", 8), 0, float(named.get("rate", 0.1)), [0, 0])
-        body = pack_beat(Beat(args[0], True, 0, [load]))[HEADER.size:]
+        """load_told NAME SHARD,... slots=N rate=R: a peer's frame tells every other controller so; twice a second"""
+        loads = [ShardLoad(int(shard), 0, named.get("slots", 8), 0, float(named.get("rate", 0.1)), [0, 0])
+                 for shard in args[1].split(",")]
+        body = pack_beat(Beat(args[0], True, 0, loads))[HEADER.size:]
         for host in self.w().hosts.values():
             if host.label != args[0]:
                 host.give(PeerSaid(read_beat(body)))
@@ -353,9 +355,30 @@
 
     def check_levels(self, args: list[str], named: dict[str, Any]) -> None:
         """levels SHARD OP N: at every controller that is up"""
-        found = [h.node.balancer.levels.get(int(args[0])) for h in self.w().hosts.values() if h.node is not None]
+        up = [h.node.balancer for h in self.w().hosts.values() if h.node is not None]
+        found = [balancer.levels.get(int(args[0])) for balancer in up]
+        assert all(set(balancer.levels) <= set(range(self.facts["size"])) for balancer in up)
         assert found and all(n is not None and COMPARE[args[1]](n, int(args[2])) for n in found), found
 
+    def check_least_loaded(self, args: list[str], named: dict[str, Any]) -> None:
+        """least_loaded NAME not SHARD: where that controller sends a job while no shard is below its level"""
+        node = self.w().hosts[args[0]].node
+        assert node is not None
+        node.balancer.levels = {}
+        assert node.balancer.shard_for() not in (None, int(args[2]))
+
+    def do_long_listing(self, plain: list[str], named: dict[str, Any]) -> None:
+        """long_listing N: one message with so many records makes steps all along, so it is no standstill"""
+        world = World(self.facts, [], 1)
+        node = Node(msgspec.convert({
+            "label": "berth-0", "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
+            "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:2379"}, "facts": world.facts}, Settings),
+            Tuning(), 0, 0)
+        raw = msgspec.Raw(msgspec.json.encode(JobRecord("done", 4, done=4)))
+        items = [m.Item(f"q/job/req-{n:06d}", raw, n + 1) for n in range(int(plain[0]))]
+        node.handle(ViewReset(items, len(items), 0), 1)
+        assert node.ctx.steps() >= 2 * len(items)
+
     def on_hang_watch(self, args: list[str], named: dict[str, Any]) -> None:
         """hang_watch NAME S: a controller's watch brings nothing, while its other calls are answered."""
         self.w().hosts[args[0]].watch_hung_until_us = self.w().now_us + int(float(args[1]) * US)
@@ -712,7 +735,10 @@
                 float(plain[0]) * 3600 * US:
             note, ends = notes.following(note, "levels", now_us, lease_us), ends + 1
             assert notes.rests(note, "levels", now_us + lease_us, lease_us)
-            assert not any(notes.rests(note, part, now_us, lease_us) for part in ("moves", "rights"))
+            assert not notes.rests(note, "moves", now_us, lease_us)
+            for part in ("moves", "rights", "machines", "Tick"):
+                other = StandstillRecord(part, 1, now_us)
+                assert notes.rests(other, part, now_us, lease_us) == (part == "moves")
         assert ends <= named["ends"], ends
         assert note is not None and note.times == ends
         later_us = now_us + 3 * notes.pause_us(ends, lease_us)
