A turn that took the whole limit of processor time is a standstill, late looks or not

Cause: time before a late look is not counted, since a stopped process stands still as a whole. Where other threads of the same process always make the looks late, an actor that works without end was therefore never judged.

Change: with late looks it takes the whole limit of the actor's own processor time on one turn instead of half. A stopped process uses none, and no message takes so long.

--- a/quinceslip/standstill/judge.py
+++ b/quinceslip/standstill/judge.py
@@ -5,10 +5,11 @@
 
 - Stopped by its host (a signal, a frozen machine): the looking thread stood still as well, so its look comes late.
   Time that passed before a late look is not counted.
-- Waiting for processor time: the looks come in time, and the actor's own time grows little while its place changes.
+- Waiting for processor time: the actor's own time grows little, while its place changes or the looks come late.
 - Standing still: the looks came in time for the whole limit without a turn, and either the actor worked for half of
   it or more (no message may take so long), or it was at the very same place for all of it and hardly worked (it
-  waits for something that does not come).
+  waits for something that does not come). Late looks or not, a turn that took the whole limit of processor time is
+  no stop and no wait.
 """
 
 from dataclasses import dataclass
@@ -56,12 +57,10 @@
             self.counted_us += passed_us
         if self.here is None or seen.place != self.here.place:
             self.here, self.here_us = seen, self.counted_us
-        if self.counted_us < self.limit_us:
-            return ""
         if seen.cpu_us is None or self.first.cpu_us is None or self.here.cpu_us is None:
             return "makes no turn" if self.counted_us >= BLIND * self.limit_us else ""
-        worked_us = seen.cpu_us - self.first.cpu_us
-        if worked_us >= WORKS * self.limit_us:
+        worked_us, in_time = seen.cpu_us - self.first.cpu_us, self.counted_us >= self.limit_us
+        if worked_us >= (WORKS if in_time else 1.0) * self.limit_us:
             return f"has worked for {worked_us / 1e6:.1f} s on one turn"
         if self.counted_us - self.here_us >= self.limit_us and seen.cpu_us - self.here.cpu_us <= IDLES * self.limit_us:
             return "waits at one place"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -711,10 +711,8 @@
         now_us, cpu_us, found = 0, 0, None
         for number in range(100_000):
             passed_us = judge.period_us + int(named.get("gap", 0) * US)
-            if number == 10:
-                passed_us += int(named.get("stop", 0) * US)
-            now_us += passed_us
-            cpu_us += int(share * min(passed_us, judge.period_us if number == 10 else passed_us))
+            cpu_us += int(share * passed_us)
+            now_us += passed_us + (int(named.get("stop", 0) * US) if number == 10 else 0)
             turns = now_us // int(named["turn"] * US) if "turn" in named else 0
             place = (1, 1) if plain[0] == "waits" and now_us >= named.get("settles", 0) * US else (number, 2)
             if judge.look(Look(now_us, turns, None if plain[0] == "blind" else cpu_us, place)):
