The model's formulas have one source: what the tests check is what the levels use

Need: after the new search, Erlang C stood twice, in wait_probability and in the search's own queue; the closed forms of queueing-theory checked the first, which the service no longer used. Shares and levels each threaded credible records back in among the others.

Change: wait_probability and mean_wait follow from the queue length that the levels are made of; the search's result comes aligned with all records, so both read it in one line. No behaviour changes.

--- a/quinceslip/coordination/balance.py
+++ b/quinceslip/coordination/balance.py
@@ -79,14 +79,28 @@
     return min(slots, int(9 * math.sqrt(slots))) + 10
 
 
+def _queue(slots: int, offered: float, spare: float) -> tuple[float, float]:
+    """Mean length of the queue, C a/(m - a), and its derivative by the offered load a.
+
+    `spare` is m - a, given apart since the difference has no digits left close to saturation. All terms are
+    positive, so none is lost in a difference here: B' = B ((m - a)/a + B), and C = m B / (m - a + a B).
+    """
+    b = blocking(slots, offered)
+    slope_b = b * (spare / offered + b)
+    below = spare + offered * b
+    c = slots * b / below
+    slope_c = slots * (slope_b * spare + b * (1.0 - b)) / (below * below)
+    return c * offered / spare, slope_c * offered / spare + c * slots / (spare * spare)
+
+
 def wait_probability(slots: int, offered: float) -> float:
     """Erlang C, P_m of eq. 5."""
     if offered <= 0:
         return 0.0
     if offered >= slots:
         return 1.0
-    b = blocking(slots, offered)
-    return slots * b / (slots - offered * (1.0 - b))
+    spare = slots - offered
+    return _queue(slots, offered, spare)[0] * spare / offered
 
 
 def mean_wait(station: Station, arrivals: float) -> float:
@@ -97,20 +111,6 @@
     return wait_probability(station.slots, arrivals / station.rate) / spare
 
 
-def _queue(slots: int, offered: float, spare: float) -> tuple[float, float]:
-    """Mean length of the queue, C a/(m - a), and its derivative by the offered load a.
-
-    `spare` is m - a, given apart since the difference has no digits left close to saturation. All terms are
-    positive, so none is lost in a difference here: B' = B ((m - a)/a + B), and C = m B / (m - a + a B).
-    """
-    b = blocking(slots, offered)
-    slope_b = b * (spare / offered + b)
-    below = spare + offered * b
-    c = slots * b / below
-    slope_c = slots * (slope_b * spare + b * (1.0 - b)) / (below * below)
-    return c * offered / spare, slope_c * offered / spare + c * slots / (spare * spare)
-
-
 def marginal_cost(station: Station, arrivals: float) -> float:
     """d(x R(x))/dx at arrival rate x, which is eq. 9.b with x = share times total rate."""
     if station.slots <= 0 or station.rate <= 0:
@@ -223,14 +223,18 @@
         return [a + most * (b - a) for a, b in zip(low, high, strict=True)]
 
 
-def _solve(stations: Sequence[Station], total: float) -> tuple[list[Station], list[float]] | None:
-    """The credible stations and the log-odds of each; None where the rate is nothing or all that they can serve."""
+def _solve(stations: Sequence[Station], total: float) -> list[float] | None:
+    """Log-odds of each shard, those of no share where a record is not credible.
+
+    None where the rate is nothing, or all that the credible ones can serve.
+    """
     usable = [s for s in stations if credible(s)]
     capacity = math.fsum(s.capacity for s in usable)
     # Rates are sums of quotients: what differs by their rounding is the same (docs/incidents/endless-levels.md).
     if not capacity * ROUNDING < total < capacity * (1.0 - ROUNDING):
         return None
-    return usable, _Search(usable, total).run()
+    found = iter(_Search(usable, total).run())
+    return [next(found) if credible(s) else -END for s in stations]
 
 
 def shares(stations: Sequence[Station], total: float) -> list[float]:
@@ -241,8 +245,7 @@
     found = _solve(stations, total)
     if found is None:
         raise ValueError(f"no shares of {total} tasks a second among {len(stations)} shards")
-    arrivals = iter([s.capacity * _parts(z)[0] / total for s, z in zip(*found, strict=True)])
-    return [next(arrivals) if credible(s) else 0.0 for s in stations]
+    return [s.capacity * _parts(z)[0] / total if credible(s) else 0.0 for s, z in zip(stations, found, strict=True)]
 
 
 def fair_levels(stations: Sequence[Station], total: float) -> list[int]:
@@ -250,8 +253,7 @@
     found = _solve(stations, total)
     if found is None:
         return [s.slots if credible(s) else 0 for s in stations]
-    levels = iter([_level(s, z) for s, z in zip(*found, strict=True)])
-    return [next(levels) if credible(s) else 0 for s in stations]
+    return [_level(s, z) for s, z in zip(stations, found, strict=True)]
 
 
 def _level(station: Station, odds: float) -> int:
