--- a/quinceslip/coordination/effects.py
+++ b/quinceslip/coordination/effects.py
@@ -45,9 +45,9 @@
 
 @dataclass(slots=True)
 class ToPeers:
-    """A heartbeat for every other controller."""
+    """Frames for every other controller: a heartbeat, and sightings of the cloud's room behind it."""
 
-    frame: bytes
+    frames: bytes
 
 
 Effect = Call | Reply | ToPeers
@@ -112,7 +112,7 @@
 
 @dataclass(slots=True)
 class PeerSaid:
-    beat: Any
+    said: Any  # a heartbeat, or sightings of the cloud's room
 
 
 Message = Tick | Settle | Answer | UserRequest | Asked | Reported | ViewReset | ViewChanges | PeerSaid
--- a/quinceslip/coordination/hiring.py
+++ b/quinceslip/coordination/hiring.py
@@ -9,10 +9,10 @@
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.ownership import Ownership
-from quinceslip.coordination.refusals import Refusals
 from quinceslip.coordination.shard import Shard
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
+from quinceslip.supply.knowledge import Supply
 
 log = logging.getLogger(__name__)
 
@@ -48,7 +48,9 @@
         self.answered = answered
         self.hires: dict[str, Hire] = {}
         self.counter = 0
-        self.refusals = Refusals(ownership.home)
+        settings = ctx.settings
+        self.supply = Supply(settings.label, [settings.label, *(p.label for p in settings.known)],
+                             settings.facts.cloud.rps, ctx.wall_us // 1000, ctx.tuning.tell_supply)
 
     def unrecorded(self, shard: int) -> bool:
         """Whether a request of this shard is not durable yet."""
@@ -86,8 +88,7 @@
                 pass
             else:
                 return  # 429, trouble or no answer: the same name again later
-            if len(names) < record.count:
-                self.refusals.refused((record.type, record.zone, record.spot), self.ctx.now_us)
+            self.supply.asked((record.type, record.zone, record.spot), record.count, len(names), self.ctx.now_us)
             log.info("hire %s: %d of %d %s in %s%s", hire.name, len(names), record.count, record.type,
                      record.zone, " (spot)" if record.spot else "")
             hire.names = names
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -32,6 +32,9 @@
 
 log = logging.getLogger(__name__)
 
+#: news of the cloud may come so much before the next heartbeat is due
+NEWS_US = 3 * SECOND // 4
+
 
 class Node:
     def __init__(self, settings: Settings, tuning: Tuning, now_us: int, wall_us: int,
@@ -84,8 +87,10 @@
             self._changed(ctx.view.reset(message.items, message.ledger))
             self.users.caught_up()
         elif isinstance(message, PeerSaid):
-            self.balancer.heard(message.beat)
-            self.provision.refusals.heard(message.beat.refusals, now_us)
+            if isinstance(message.said, frames.Sightings):
+                self.provision.supply.heard(message.said.label, message.said.sightings, now_us)
+            else:
+                self.balancer.heard(message.said)
         elif isinstance(message, Settle):
             for shard in self.shards.values():
                 shard.settle()
@@ -153,7 +158,8 @@
             shard.tick()
 
     def _tick_beat(self) -> None:
-        if self.ctx.now_us >= self.next_beat_us:
+        # What the cloud has or lacks is told at once: peers are about to ask for the same.
+        if self.ctx.now_us >= self.next_beat_us - (NEWS_US if self.provision.supply.news else 0):
             self.next_beat_us = self.ctx.now_us + SECOND
             self._beat()
 
@@ -174,9 +180,12 @@
 
     def _beat(self) -> None:
         beat = frames.Beat(self.ctx.settings.label, self.ctx.state_ok(), self.ctx.view.ledger,
-                           self.balancer.loads(), self.provision.refusals.left(self.ctx.now_us),
-                           self.reach.aside, self.reach.strays())
-        self.ctx.out.append(ToPeers(frames.pack_beat(beat)))
+                           self.balancer.loads(), self.reach.aside, self.reach.strays())
+        said = frames.pack_beat(beat)
+        seen = self.provision.supply.tell(self.ctx.now_us)
+        if seen:
+            said += frames.pack_sightings(frames.Sightings(self.ctx.settings.label, seen))
+        self.ctx.out.append(ToPeers(said))
 
     def ready(self) -> bool:
         """Unready only where this node alone has lost the state service."""
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -49,7 +49,7 @@
         self.next_types_us = 0
         self.next_plan_us = 0
         self.hiring = Hiring(ctx, ownership, shards, self._plan_soon)
-        self.refusals = self.hiring.refusals
+        self.supply = self.hiring.supply
         self.inventory = Inventory(ctx, ownership, shards, self._delete)
         self.next_delete_us = 0
         self.packer = Packer(ctx, ownership)
@@ -254,7 +254,7 @@
                 for cheap in ([True, False] if spot else [False]):
                     if not cheap and dear <= 0:
                         continue
-                    if self.refusals.rests((kind.label, zone, cheap), self.ctx.now_us):
+                    if self.supply.rests((kind.label, zone, cheap), self.ctx.now_us):
                         continue
                     price = (kind.spot_price if cheap else kind.price) / (per_machine * max(spec.cpus, 0.01))
                     options.append((price, in_zone[zone], kind.label, zone, cheap, machines if cheap else dear))
@@ -390,7 +390,7 @@
                 for name in names:
                     worker = shard.workers.get(name)
                     if worker is not None and worker.type is not None:
-                        self.refusals.room_again((worker.type.label, worker.zone, worker.spot))
+                        self.supply.returned((worker.type.label, worker.zone, worker.spot), 1, self.ctx.now_us)
                     self.inventory.forget(shard, name, "returned")
             else:
                 self.next_delete_us = self.ctx.now_us + SECOND
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -102,6 +102,7 @@
     idle_return_factor: Positive = 1.3
     hire_fraction: Annotated[float, Meta(gt=0, le=2)] = 0.8
     end_at_standstill: bool = True
+    tell_supply: bool = True
     log_level: str = ""
 
 
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -53,7 +53,7 @@
         questions = [f"/{question}" for subsystem in node.subsystems for question in subsystem.questions]
         self.api = ApiServer(split_address(settings.api_addr), self.replies, most, questions)
         self.peers = PeerServer(split_address(settings.peer_bind), 4 * facts.size,
-                                lambda beat: void(self.actor.post(PeerSaid(beat))))
+                                lambda said: void(self.actor.post(PeerSaid(said))))
         timing = Timing(settings)
         self.actor.start()
         if tuning.end_at_standstill:
@@ -83,7 +83,7 @@
                 self.workers.submit(effect, effect.target)
         else:
             for link in self.links:
-                link.send(effect.frame)
+                link.send(effect.frames)
 
     def run(self) -> None:
         log.info("%s serves users and workers on %s", self.settings.label, self.settings.api_addr)
--- /dev/null
+++ b/quinceslip/supply/knowledge.py
@@ -0,0 +1,162 @@
+"""What the fleet has seen of the cloud's room, by kind of machine. No I/O; the caller brings the time.
+
+A *sighting* is what one controller saw at first hand: so many machines asked for, so many had. Each controller
+tells its own sightings and nothing else. What a peer told is kept apart, by whom it is from, and is never told on:
+two controllers that add to what they hear from each other and pass it on keep it alive for ever
+(docs/incidents/refusals-for-ever.md).
+
+A sighting carries its *version*, the birth of the controller's process and a count, and its age. Heard again it is
+known by its version and its moment is the earliest that was made out, so no repeat, delay or reordering moves it later.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from quinceslip.coordination.context import SECOND
+from quinceslip.protocol.frames import Sighting
+
+#: machine type, zone, spot
+Kind = tuple[str, str, bool]
+#: part of the cloud's calls that may go to kinds that were short when they were last asked for
+ASK_PART = 0.125
+#: a kind that was short rests for no less and no more than this
+LEAST_REST_US = 12 * SECOND
+MOST_REST_US = 48 * SECOND
+#: kinds that are kept of one peer: more than a frame carries, so that nonsense takes no memory
+MOST_KINDS = 64
+#: between the turns of two controllers: time for the first one's answer, and for the others to hear of it
+TURN_US = SECOND
+
+
+@dataclass(slots=True, frozen=True)
+class Known:
+    """A sighting as one controller knows it, at its own clock."""
+
+    sighting: Sighting
+    at_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class Rest:
+    """Why a kind is not asked for: whose sighting, of which moment, and until when for this controller."""
+
+    origin: str
+    at_us: int
+    until_us: int
+
+
+class Supply:
+    """Owns what is known of the cloud's room; `rests` says whether to ask."""
+
+    def __init__(self, label: str, labels: list[str], asks_per_s: float, born: int, told: bool = True) -> None:
+        self.label = label
+        self.labels = sorted(labels)
+        self.asks_per_s = asks_per_s
+        self.born = born
+        self.told = told  # whether the controllers tell each other at all
+        self.count = 0
+        #: by controller, by kind: the newest sighting of each
+        self.known: dict[str, dict[Kind, Known]] = {}
+        self.rest: dict[Kind, Rest] = {}
+        self.news = False  # something was seen that peers have not been told
+
+    # First hand.
+
+    def asked(self, kind: Kind, asked: int, granted: int, now_us: int) -> None:
+        """The cloud answered a request for so many machines."""
+        self._saw(kind, asked, granted, now_us)
+
+    def returned(self, kind: Kind, count: int, now_us: int) -> None:
+        """Machines that are returned make room for others of their kind, whoever wants them."""
+        self._saw(kind, count, count, now_us)
+
+    def _saw(self, kind: Kind, asked: int, granted: int, now_us: int) -> None:
+        mine = self.known.setdefault(self.label, {})
+        short = granted < asked
+        if not short and kind not in self.rest and not (kind in mine and _short(mine[kind])):
+            return  # nobody was told otherwise: no news
+        self.count += 1
+        mine[kind] = Known(Sighting(kind, self.born, self.count, 0, asked, granted), now_us)
+        self.news = True
+        self._judge(kind, now_us)
+
+    # Hearsay.
+
+    def tell(self, now_us: int) -> list[Sighting]:
+        """What this controller saw itself, each with its age; newest first."""
+        self.news = False
+        if not self.told:
+            return []
+        mine = self.known.get(self.label, {})
+        for kind in [k for k, known in mine.items() if now_us - known.at_us > MOST_REST_US]:
+            del mine[kind]
+        return [Sighting(k.sighting.kind, self.born, k.sighting.number, now_us - k.at_us, k.sighting.asked,
+                         k.sighting.granted) for k in sorted(mine.values(), key=lambda k: -k.at_us)]
+
+    def heard(self, origin: str, sightings: Iterable[Sighting], now_us: int) -> None:
+        """What a peer says that it saw itself. Costs by what is new of it."""
+        if not self.told or origin == self.label or origin not in self.labels:
+            return
+        theirs = self.known.setdefault(origin, {})
+        for sighting in sightings:
+            at_us, before = now_us - sighting.age_us, theirs.get(sighting.kind)
+            if before is not None:
+                version, known = (sighting.born, sighting.number), (before.sighting.born, before.sighting.number)
+                # Guard: the same sighting heard again, or an older one that was late, moves nothing later.
+                if version < known or (version == known and at_us >= before.at_us):
+                    continue
+            theirs[sighting.kind] = Known(sighting, at_us)
+            if len(theirs) > MOST_KINDS:
+                del theirs[min(theirs, key=lambda k: theirs[k].at_us)]
+            self._judge(sighting.kind, now_us)
+
+    # Judgement.
+
+    def rests(self, kind: Kind, now_us: int) -> bool:
+        """Whether it should not be asked for yet."""
+        rest = self.rest.get(kind)
+        if rest is None:
+            return False
+        if now_us >= rest.until_us:
+            del self.rest[kind]
+            return False
+        return True
+
+    def _judge(self, kind: Kind, now_us: int) -> None:
+        """One rest for each kind, counted from the latest moment at which it was short, unless room was seen since."""
+        shortage: tuple[int, str] | None = None
+        room_us: int | None = None
+        for origin, theirs in self.known.items():
+            known = theirs.get(kind)
+            if known is None:
+                continue
+            if not _short(known):
+                room_us = known.at_us if room_us is None else max(room_us, known.at_us)
+            elif shortage is None or known.at_us > shortage[0]:
+                shortage = (known.at_us, origin)
+        self.rest.pop(kind, None)
+        if shortage is None or (room_us is not None and room_us >= shortage[0]):
+            return
+        at_us, origin = shortage
+        until_us = at_us + self.pause_us(now_us) + self.turn_us(origin)
+        if until_us > now_us:
+            self.rest[kind] = Rest(origin, at_us, until_us)
+
+    def pause_us(self, now_us: int) -> int:
+        """How long a kind rests: all that rest are asked for in turn, with a part of the cloud's calls together."""
+        resting = 1 + sum(rest.until_us > now_us for rest in self.rest.values())
+        return min(max(int(SECOND * resting / (self.asks_per_s * ASK_PART)), LEAST_REST_US), MOST_REST_US)
+
+    def turn_us(self, origin: str) -> int:
+        """The controllers ask one after the other, so that one answer serves all; whoever was short last comes last."""
+        size = len(self.labels)
+        place = (self.labels.index(self.label) - self.labels.index(origin) - 1) % size
+        return place * min(TURN_US, MOST_REST_US // 4 // size)
+
+    def view(self) -> Mapping[str, Mapping[Kind, Known]]:
+        """What is known, by controller: for tests, logs and whoever asks."""
+        return self.known
+
+
+def _short(known: Known) -> bool:
+    return known.sighting.granted < known.sighting.asked
--- a/quinceslip/transport/peers.py
+++ b/quinceslip/transport/peers.py
@@ -25,7 +25,8 @@
 class PeerServer:
     """Takes frames from peers; anything else ends the connection and nothing more."""
 
-    def __init__(self, address: tuple[str, int], most: int, heard: Callable[[frames.Beat], None]) -> None:
+    def __init__(self, address: tuple[str, int], most: int,
+                 heard: Callable[[frames.Beat | frames.Sightings], None]) -> None:
         self.heard = heard
         self.slots = threading.BoundedSemaphore(most)
         self.listener = socket.create_server(address, backlog=16)
@@ -50,8 +51,9 @@
             while True:
                 kind, length = frames.read_header(_read(connection, frames.HEADER.size))
                 body = _read(connection, length)
-                if kind == frames.KIND_BEAT:
-                    self.heard(frames.read_beat(body))
+                said = frames.read_frame(kind, body)
+                if said is not None:
+                    self.heard(said)
         except frames.FrameError as error:
             log.error("malformed frame from a peer: %s", error)
         except (OSError, EOFError) as error:
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -171,13 +171,31 @@
 
 def _frames(tmp: Path) -> None:
     beat = frames.Beat("berth-1", True, 42, [frames.ShardLoad(1, 2, 3, 4, 0.5, [5, 6], 7)],
-                       [("aisle-mid", "erie-east", True, 12_000_000)], aside=True, strays=[(1, 5)])
+                       aside=True, strays=[(1, 5)])
     data = frames.pack_beat(beat)
     kind, length = frames.read_header(data[: frames.HEADER.size])
     assert kind == frames.KIND_BEAT and frames.read_beat(data[frames.HEADER.size:]) == beat and length
     # A frame without strays is what it was before they were sent.
     assert len(data) - len(frames.pack_beat(frames.Beat(
-        beat.label, True, 42, beat.loads, beat.refusals))) == frames.STRAY.size
+        beat.label, True, 42, beat.loads))) == frames.STRAY.size
+    # What an earlier version told on of refusals is read past.
+    size = frames.HEADER.size + frames.BEAT.size
+    older = bytearray(data[frames.HEADER.size:])
+    older[frames.BEAT.size - 2: frames.BEAT.size] = (1).to_bytes(2, "big")
+    rest = len(data) - frames.STRAY.size - size
+    older[frames.BEAT.size + rest: frames.BEAT.size + rest] = bytes(frames.REFUSAL.size)
+    assert frames.read_beat(bytes(older)) == beat
+    seen = [frames.Sighting((f"kind-{n}", "erie-east", n % 2 == 0), 1_700_000_000_000, n, n * 1000, n, n // 2)
+            for n in range(1, 100)]
+    data_seen = frames.pack_sightings(frames.Sightings("berth-1", seen))
+    kind, length = frames.read_header(data_seen[: frames.HEADER.size])
+    told = frames.read_frame(kind, data_seen[frames.HEADER.size:])
+    assert length <= frames.MAX_PAYLOAD and isinstance(told, frames.Sightings)
+    assert told.label == "berth-1" and told.sightings == seen[: len(told.sightings)] and len(told.sightings) > 30
+    assert frames.read_frame(77, b"whatever a later version says") is None
+    for body in (b"", data_seen[frames.HEADER.size: -1], b"\xff" * 40):
+        with pytest.raises(frames.FrameError):
+            frames.read_frame(frames.KIND_SUPPLY, body)
     for bad in (b"XX" + data[2:6], data[:2] + b"\x01" + data[3:6], data[:4] + b"\xff\xff"):
         with pytest.raises(frames.FrameError):
             frames.read_header(bad)
--- /dev/null
+++ b/tests/test_supply_properties.py
@@ -0,0 +1,143 @@
+"""What controllers tell each other of the cloud's room dies out, whatever the links do with it.
+
+Any order of heartbeats, loss, repeats and delay, controllers that start again, 1 to 64 of them. A plain list of what
+was truly seen, kept beside them, is what they are judged by.
+"""
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quinceslip.coordination.context import SECOND
+from quinceslip.protocol import frames
+from quinceslip.supply.knowledge import MOST_REST_US, TURN_US, Kind, Supply
+
+many = settings(max_examples=50, deadline=None, database=None, derandomize=True)
+KINDS: list[Kind] = [("mid", "a", True), ("mid", "b", False)]
+VERBS = ["short", "short", "room", "beat", "beat", "beat", "late", "again", "restart", "wait"]
+STEPS = st.lists(st.tuples(st.sampled_from(VERBS),
+                           st.integers(0, 63), st.integers(0, 63), st.sampled_from(KINDS), st.integers(0, 6)),
+                 min_size=20, max_size=60)
+
+
+class Fleet:
+    """Controllers that hear each other through a network that keeps, repeats and delays what was said."""
+
+    def __init__(self, size: int) -> None:
+        self.labels = [f"berth-{i}" for i in range(size)]
+        self.now_us = 100 * SECOND
+        self.nodes = [self.made(label) for label in self.labels]
+        self.said: list[tuple[int, bytes]] = []
+        #: by hearer, whom it is from, and kind: the newest version that came there, and its earliest moment
+        self.reference: dict[tuple[int, str, Kind], tuple[tuple[int, int], int]] = {}
+
+    def made(self, label: str) -> Supply:
+        return Supply(label, self.labels, 8.0, self.now_us // 1000)
+
+    def beat(self, node: int) -> bytes:
+        return frames.pack_sightings(frames.Sightings(self.labels[node], self.nodes[node].tell(self.now_us)))
+
+    def hear(self, node: int, data: bytes) -> None:
+        told = frames.read_sightings(data[frames.HEADER.size:])
+        self.nodes[node].heard(told.label, told.sightings, self.now_us)
+        for sighting in told.sightings if told.label != self.labels[node] else []:
+            place, version = (node, told.label, sighting.kind), (sighting.born, sighting.number)
+            newest, at_us = self.reference.get(place, ((0, 0), 0))
+            if version >= newest:
+                came_us = self.now_us - sighting.age_us
+                self.reference[place] = (version, min(at_us, came_us) if version == newest else came_us)
+
+    def step(self, verb: str, one: int, other: int, kind: Kind, amount: int) -> None:
+        one, other = one % len(self.nodes), other % len(self.nodes)
+        if verb == "short":
+            self.nodes[one].asked(kind, amount + 1, amount, self.now_us)
+        elif verb == "room":
+            self.nodes[one].asked(kind, amount + 1, amount + 1, self.now_us)
+        elif verb == "restart":
+            self.nodes[one] = self.made(self.labels[one])
+            for place in [p for p in self.reference if p[0] == one]:
+                del self.reference[place]
+        elif verb == "wait":
+            self.now_us += amount * SECOND
+        elif verb == "late" and self.said:
+            _, data = self.said[amount % len(self.said)]
+            self.hear(one, data)
+        else:
+            data = self.beat(one)
+            self.said.append((one, data))
+            for _ in range(2 if verb == "again" else 1):
+                self.hear(other, data)
+        self.now_us += SECOND // 10
+
+
+@given(st.integers(1, 64), STEPS)
+@many
+def test_no_rest_outlives_what_was_seen(size: int, steps: list[tuple[str, int, int, Kind, int]]) -> None:
+    fleet = Fleet(size)
+    for step in steps:
+        fleet.step(*step)
+    last_us = fleet.now_us
+    most_us = MOST_REST_US + MOST_REST_US // 4  # the longest rest, and the last turn after it
+    # From here on nobody sees anything; all go on telling each other, each second, all to all or in a ring.
+    while fleet.now_us <= last_us + most_us:
+        for one in range(size):
+            data = fleet.beat(one)
+            for other in ({(one + 1) % size, (one + 7) % size, (one + 31) % size} - {one}):
+                fleet.hear(other, data)
+        fleet.now_us += 3 * SECOND
+    for node in fleet.nodes:
+        assert not any(node.rests(kind, fleet.now_us) for kind in KINDS)
+        assert not node.tell(fleet.now_us), "told without anything seen for longer than any rest"
+
+
+@given(st.integers(2, 8), STEPS)
+@many
+def test_what_is_known_is_the_newest_at_its_earliest(size: int, steps: list[tuple[str, int, int, Kind, int]]) -> None:
+    """Repeats and frames that were late move nothing: no sighting grows younger by being heard again."""
+    fleet = Fleet(size)
+    for step in steps:
+        fleet.step(*step)
+        for (node, origin, kind), (version, at_us) in fleet.reference.items():
+            known = fleet.nodes[node].view()[origin][kind]
+            assert (known.sighting.born, known.sighting.number) == version
+            assert known.at_us == at_us
+
+
+@given(st.integers(1, 64), st.integers(1, 20))
+@many
+def test_the_fleet_asks_as_often_as_one_would(size: int, seconds: int) -> None:
+    """All want a kind that is not to be had: together they ask no more often than a rest and the first turn allow."""
+    fleet = Fleet(size)
+    kind, asks = KINDS[0], []
+    end_us = fleet.now_us + 60 * SECOND + seconds * SECOND
+    while fleet.now_us < end_us:
+        for one, node in enumerate(fleet.nodes):
+            if not node.rests(kind, fleet.now_us):
+                asks.append(fleet.now_us)
+                node.asked(kind, 3, 0, fleet.now_us)
+                data = fleet.beat(one)
+                for other in range(size):
+                    fleet.hear(other, data)
+        fleet.now_us += SECOND // 5
+    pause_us = min(node.pause_us(fleet.now_us) for node in fleet.nodes)
+    assert len(asks) <= 1 + (end_us - asks[0]) // pause_us
+    # And room that comes back is asked for within a rest and the turns of those who come first.
+    assert max(b - a for a, b in pairwise(asks)) <= pause_us + 2 * TURN_US
+
+
+@given(st.integers(2, 64), st.integers(0, 63), st.integers(0, 63))
+@many
+def test_room_seen_by_anyone_ends_the_rest_for_all(size: int, one: int, other: int) -> None:
+    fleet = Fleet(size)
+    one, other, kind = one % size, other % size, KINDS[0]
+    fleet.nodes[one].asked(kind, 5, 1, fleet.now_us)
+    for node in range(size):
+        fleet.hear(node, fleet.beat(one))
+    assert all(node.rests(kind, fleet.now_us) for node in fleet.nodes)
+    fleet.now_us += SECOND
+    fleet.nodes[other].returned(kind, 1, fleet.now_us)
+    for node in range(size):
+        fleet.hear(node, fleet.beat(other))
+        fleet.hear(node, fleet.beat(one))  # what was seen before is told on, and changes nothing
+    assert not any(node.rests(kind, fleet.now_us) for node in fleet.nodes)
--- a/tests/world.py
+++ b/tests/world.py
@@ -509,11 +509,10 @@
                 world.after(world.latency(), lambda: answer(effect.status, body))
             return
         if isinstance(effect, fx.ToPeers):
-            header = frames.HEADER.size
             for other in world.hosts.values():
                 if other is not self and world.now_us >= max(other.deaf_peers_until_us, self.deaf_peers_until_us):
-                    beat = frames.read_beat(effect.frame[header:])
-                    world.after(world.latency(), lambda o=other, b=beat: o.give(fx.PeerSaid(b)))
+                    for said in read_frames(effect.frames):
+                        world.after(world.latency(), lambda o=other, s=said: o.give(fx.PeerSaid(s)))
             return
         body = json.loads(msgspec.json.encode(effect.body))
 
@@ -573,6 +572,17 @@
         self._request(lambda n: fx.Asked(n, question), answer)
 
 
+def read_frames(data: bytes) -> list[Any]:
+    """What the frames of one message say, as a peer's thread reads them."""
+    found = []
+    while data:
+        kind, length = frames.read_header(data[: frames.HEADER.size])
+        end = frames.HEADER.size + length
+        found.append(frames.read_frame(kind, data[frames.HEADER.size: end]))
+        data = data[end:]
+    return [said for said in found if said is not None]
+
+
 def job_spec(uid: str, **changes: Any) -> dict[str, Any]:
     spec = {"uid": uid, "lane": "batch", "crew": "team", "shape": "array", "rank": "normal", "picks": 1,
             "vcpus": 2.0, "gpus": 0.0, "memGb": 1.0, "kit": "img-1", "sizeGb": 1.0, "builds": None, "yard": None,
