--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -117,6 +117,8 @@
                     shard.roster_changed(name)
             elif kind == "shard":
                 self.ownership.record_changed(int(name))
+            elif kind == "stray":
+                self.reach.noted(name)
             elif kind == "types":
                 self.provision.types_changed()
             else:
@@ -173,6 +175,9 @@
             self.next_give_back_us = now_us + SECOND
             self._give_back_shards()
             self._hand_over_shards()
+        if self.ownership.entitled():
+            self.reach.note({s for s in range(self.ownership.size) if (owner := self.ownership.owner(s)) is not None
+                             and owner != self.ctx.settings.label and not self.balancer.alive(owner)})
         self.reach.tick()
         self.ownership.aside = self.reach.aside
 
@@ -218,7 +223,7 @@
             return
         for index, shard in self.shards.items():
             strays = sum(count for label, peer in self.balancer.peers.items() if self.balancer.alive(label)
-                         for s, count in peer.beat.strays if s == index)
+                         for s, count in peer.beat.strays if s == index) + self.reach.written(index)
             if strays and self.reach.cut_off(shard.workers.values(), strays):
                 self.reach.step_aside(index)
                 self.ownership.give_back(index)
--- a/quinceslip/coordination/reach.py
+++ b/quinceslip/coordination/reach.py
@@ -6,14 +6,19 @@
 peers can tell: they count the workers that come to them although another owns their shard, and say so in
 their heartbeats. Where an owner hears of none of its workers and peers hear of most, it hands the shard over,
 as when one goes home, and stands aside until it reaches a worker again.
+
+A cut that takes the workers often takes the peers with them, and leaves the state service. Heartbeats say nothing
+then, so a peer whose strays belong to an owner that it does not hear of writes their number down as a record.
 """
 
 import logging
 from collections.abc import Iterable
 
 from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context
+from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.state import Worker
 from quinceslip.protocol import messages as m
+from quinceslip.storage import records
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +26,8 @@
 LEAST = 3
 #: while it stands aside, a controller asks one worker so often
 ASK_US = 2 * SECOND
+#: strays are written down so often while it is needed; what was written counts for twice as long
+WRITE_US = REPORT_WAIT_US
 
 
 class Reach:
@@ -34,6 +41,9 @@
         self.next_ask_us = 0
         self.asked = 0
         self._strays: dict[int, dict[str, int]] = {}  # by shard: its workers that came here, and when
+        self._read_us: dict[str, int] = {}  # when the record of a peer last changed
+        self._writing = False
+        self._next_write_us = 0
 
     def reported(self) -> None:
         """A worker of ours, or one that belongs elsewhere, has reached this controller."""
@@ -58,6 +68,36 @@
                 del self._strays[shard]
         return found
 
+    # The same by way of the state service.
+
+    def note(self, unheard: set[int]) -> None:
+        """Write down the strays of these shards, whose owners are not heard of; take it back once there are none."""
+        label, view = self.ctx.settings.label, self.ctx.view
+        key = records.stray_key(label)
+        strays = [(shard, count) for shard, count in self.strays() if shard in unheard and count >= LEAST]
+        known = view.by_kind["stray"].get(label)
+        if self._writing or (not strays and known is None) or self.ctx.now_us < self._next_write_us:
+            return
+        self._writing, self._next_write_us = True, self.ctx.now_us + WRITE_US
+
+        def done(status: int, failed: list[str]) -> None:
+            self._writing = False
+
+        # Conditional, so that one that is late does not come back after it was taken back.
+        puts = {key: (records.StrayRecord(strays), None)} if strays else {}
+        self.ctx.txn({key: view.stamp(key)}, puts, [] if strays else [key], done, Urgency.ROSTER)
+
+    def noted(self, label: str) -> None:
+        """The record of a peer has changed."""
+        self._read_us[label] = self.ctx.now_us
+
+    def written(self, shard: int) -> int:
+        """How many workers of a shard came to peers in vain, by their records; the clock is that of the reader."""
+        since_us = self.ctx.now_us - 2 * WRITE_US
+        return sum(count for label, record in self.ctx.view.by_kind["stray"].items()
+                   if label != self.ctx.settings.label and self._read_us.get(label, 0) > since_us
+                   for s, count in record.strays if s == shard)
+
     def cut_off(self, workers: Iterable[Worker], strays: int) -> bool:
         """Whether peers hear of most of these workers while this controller hears of none."""
         if self.ctx.now_us - self.reported_us <= self.ctx.timing.probe_us:
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -9,6 +9,7 @@
   hire/<name>          a rental request that is about to be made
   load/<n>             the load of shard n, recorded every few seconds
   standstill/<label>   where the actor of that controller last stood still, and how often in a row
+  stray/<label>        whose workers came to that controller in vain, where their owner's heartbeats do not
   types                the machine types, for nodes that start while the cloud is away
 """
 
@@ -50,6 +51,10 @@
     return f"{PREFIX}hire/{name}"
 
 
+def stray_key(label: str) -> str:
+    return f"{PREFIX}stray/{label}"
+
+
 def load_key(shard: int) -> str:
     return f"{PREFIX}load/{shard}"
 
@@ -117,14 +122,20 @@
     at_us: int  # wall clock
 
 
+class StrayRecord(msgspec.Struct):
+    """Shard and number of its workers that came in vain; written while it is so, every few seconds."""
+
+    strays: list[tuple[int, int]]
+
+
 KINDS: dict[str, Any] = {
     "term": TermRecord, "shard": ShardRecord, "job": JobRecord, "part": Chunk,
     "roster": RosterRecord, "hire": HireRecord, "load": LoadRecord, "types": list[MachineType],
-    "standstill": StandstillRecord,
+    "standstill": StandstillRecord, "stray": StrayRecord,
 }
 
 #: kinds that nothing rests on: one that can't be read is as good as none, and must not cost those beside it
-ADVISORY = frozenset({"load", "standstill"})
+ADVISORY = frozenset({"load", "standstill", "stray"})
 
 
 class View:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -580,6 +580,10 @@
         count = self.w().cloud.next - 1
         assert COMPARE[args[0]](count, int(args[1])), f"{count} machines rented"
 
+    def check_records(self, args: list[str], named: dict[str, Any]) -> None:
+        """records KIND N: so many of a kind in the state service"""
+        assert sum(key.startswith(f"q/{args[0]}/") for key in self.w().state.data) == int(args[1])
+
     def check_roster(self, args: list[str], named: dict[str, Any]) -> None:
         roster = [k for k in self.w().state.data if k.startswith("q/roster/")]
         assert len(roster) == len(self.w().cloud.machines), (roster, list(self.w().cloud.machines))
