--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -176,8 +176,7 @@
             self._give_back_shards()
             self._hand_over_shards()
         if self.ownership.entitled():
-            self.reach.note({s for s in range(self.ownership.size) if (owner := self.ownership.owner(s)) is not None
-                             and owner != self.ctx.settings.label and not self.balancer.alive(owner)})
+            self.reach.note()
         self.reach.tick()
         self.ownership.aside = self.reach.aside
 
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -278,6 +278,10 @@
         known = [w for w in shard.workers.values() if (w.heard_us or w.deaf) and not w.lost]
         heard = sum(bool(w.heard_us) and not w.deaf for w in known)
         mostly_heard = 2 * heard >= len(known) or (len(known) <= 2 and self.ownership.entitled())
+        # At the moment of a cut the first machines count as silent while the others were heard just before it: one is
+        # only known to be silent by itself once another was heard when its own next report was overdue.
+        newest_us = max((w.heard_us for w in known if not w.deaf), default=0)
+        overdue_us = 5 * self.ctx.timing.report_us // 4
         dark = self._dark_zones(shard)
         idle_rank = {True: 0, False: 0}
         headroom: tuple[int | None, float] | None = None
@@ -286,7 +290,8 @@
                 continue
             boot_us = micros(worker.type.boot_s)
             host = self.inventory.hosts.get(worker.name)
-            deaf = worker.deaf >= PROBES and mostly_heard and worker.zone not in dark
+            deaf = worker.deaf >= PROBES and mostly_heard and worker.zone not in dark and (
+                len(known) <= 2 or newest_us > max(worker.heard_us, shard.taken_us) + overdue_us)
             if worker.name in shard.unresolved and deaf:
                 # Deleted, it is certain to be gone, and what it may have held can start elsewhere.
                 log.info("inherited worker %s does not answer: replaced", worker.name)
--- a/quinceslip/coordination/reach.py
+++ b/quinceslip/coordination/reach.py
@@ -8,7 +8,8 @@
 as when one goes home, and stands aside until it reaches a worker again.
 
 A cut that takes the workers often takes the peers with them, and leaves the state service. Heartbeats say nothing
-then, so a peer whose strays belong to an owner that it does not hear of writes their number down as a record.
+then, so a controller with strays writes their number down as well. Whether it hears the owner does not matter: the
+owner may be heard by those whom it does not hear.
 """
 
 import logging
@@ -70,11 +71,11 @@
 
     # The same by way of the state service.
 
-    def note(self, unheard: set[int]) -> None:
-        """Write down the strays of these shards, whose owners are not heard of; take it back once there are none."""
+    def note(self) -> None:
+        """Write down whose workers come here in vain; take it back once there are none."""
         label, view = self.ctx.settings.label, self.ctx.view
         key = records.stray_key(label)
-        strays = [(shard, count) for shard, count in self.strays() if shard in unheard and count >= LEAST]
+        strays = [(shard, count) for shard, count in self.strays() if count >= LEAST]
         known = view.by_kind["stray"].get(label)
         if self._writing or (not strays and known is None) or self.ctx.now_us < self._next_write_us:
             return
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -89,7 +89,8 @@
         self.actions: list[tuple[float, str, list[str], dict[str, Any]]] = []
         self.statuses: dict[str, list[int]] = {}
         self.expect_broken: str | None = None
-        self.counted: dict[str, int] = {}
+        self.counted: dict[str, Any] = {}
+        self.whys: dict[str, str] = {}
         self.full = False
         self.operators: dict[str, dict[str, str]] = {}
         self.reasons: dict[str, Any] = {}
@@ -277,17 +278,37 @@
     def on_count(self, args: list[str], named: dict[str, Any]) -> None:
         """count: what is counted from here on"""
         world = self.w()
-        self.counted = {"puts": world.state.puts, "reports": world.reports, "looked": self._looked(),
+        starts = {task: len(times) for task, times in world.checker.starts.items()}
+        self.counted = {"puts": world.state.puts, "reports": world.reports, "looked": self._looked(), "starts": starts,
+                        "reads": self._reads(),
                         "asked": world.cloud.asked, "second": world.now_us // US,
                         "grants": world.state.grants}
 
     def on_poll(self, args: list[str], named: dict[str, Any]) -> None:
         def heard(status: int, body: Any) -> None:
             self.statuses.setdefault(args[0], []).append(status)
+            self.whys[args[0]] = body.get("why", "")
             self.w().checker.polled(args[0], status, body)
 
         self.ask("poll", args[0], heard)
 
+    def on_poll_many(self, args: list[str], named: dict[str, Any]) -> None:
+        """poll_many UID COUNT over=S: spread evenly"""
+        for number in range(int(args[1])):
+            self.w().after(number * named["over"] * US // int(args[1]), lambda: self.on_poll(args, {}))
+
+    def _reads(self) -> int:
+        return sum(h.node.users.reads for h in self.w().hosts.values() if h.node is not None)
+
+    def check_reads_since(self, args: list[str], named: dict[str, Any]) -> None:
+        """reads_since OP N: reads of the ledger for users, since `count`"""
+        count = self._reads() - self.counted["reads"]
+        assert COMPARE[args[0]](count, int(args[1])), f"{count} reads"
+
+    def check_answered(self, args: list[str], named: dict[str, Any]) -> None:
+        """answered UID N: so many requests of users for it were answered with 200 or 201"""
+        assert sum(s in (200, 201) for s in self.statuses[args[0]]) == int(args[1]), len(self.statuses[args[0]])
+
     def on_cancel(self, args: list[str], named: dict[str, Any]) -> None:
         """cancel UID [by=NAME]: asked of that controller, or of any"""
         world, uid = self.w(), args[0]
@@ -384,8 +405,12 @@
         self.w().hosts[args[0]].watch_hung_until_us = self.w().now_us + int(float(args[1]) * US)
 
     def on_deaf(self, args: list[str], named: dict[str, Any]) -> None:
-        """deaf NAME S: no frames to or from its peers."""
-        self.w().hosts[args[0]].deaf_peers_until_us = self.w().now_us + int(float(args[1]) * US)
+        """deaf NAME S [in]: no frames to or from its peers; with `in`, none to it, while its own arrive."""
+        host, until_us = self.w().hosts[args[0]], self.w().now_us + int(float(args[1]) * US)
+        if "in" in args:
+            host.deaf_in_until_us = until_us
+        else:
+            host.deaf_peers_until_us = until_us
 
     def _workers(self, args: list[str]) -> list[Any]:
         world = self.w()
@@ -558,6 +583,17 @@
         count = sum(len(s) for t, s in self.w().checker.starts.items() if t.startswith(args[0] + "/"))
         assert COMPARE[args[1]](count, int(args[2])), f"{args[0]} was started {count} times"
 
+    def check_starts_since(self, args: list[str], named: dict[str, Any]) -> None:
+        """starts_since UID OP N: since `count`"""
+        before: Any = self.counted["starts"]
+        starts = self.w().checker.starts
+        count = sum(len(s) - before.get(t, 0) for t, s in starts.items() if t.startswith(args[0] + "/"))
+        assert COMPARE[args[1]](count, int(args[2])), f"{args[0]} was started {count} times since"
+
+    def check_why(self, args: list[str], named: dict[str, Any]) -> None:
+        """why UID TEXT: what its user is told of a job beside its state"""
+        assert " ".join(args[1:]) in self.whys.get(args[0], ""), self.whys
+
     def check_services_restarted_by(self, args: list[str], named: dict[str, Any]) -> None:
         """Some replica was started again, and the last such start was by then."""
         again = [s[-1] / US for s in self.w().checker.starts.values() if len(s) > 1]
--- a/tests/world.py
+++ b/tests/world.py
@@ -432,6 +432,7 @@
         self.next_request = 0
         self.errors: list[str] = []
         self.deaf_peers_until_us = 0
+        self.deaf_in_until_us = 0  # its peers' frames do not reach it, its own reach them
         self.watch_hung_until_us = 0  # its watch stays open and brings nothing, while all else is answered
         self.cut_workers_until_us = 0  # nothing passes between it and any worker
         self.operators = configparser.ConfigParser(interpolation=None)  # its own copy of the operators' file
@@ -467,8 +468,20 @@
     def _beat(self, life: int) -> None:
         if life == self.life and self.node is not None:
             self.give(fx.Tick())
+            self._nothing_is_lost()
             self.world.after(100_000, lambda: self._beat(life))
 
+    def _nothing_is_lost(self) -> None:
+        """Every task of ours that is not done waits, runs, or is known to be in doubt: none that nobody will start."""
+        for shard in self.node.shards.values() if self.node is not None else ():
+            for chunk in shard.chunks.values():
+                left = chunk.own - chunk.done - chunk.new_done - chunk.pending.members - chunk.attempts.keys() \
+                    - chunk.unknown - chunk.limbo - chunk.trial.parked
+                if left:
+                    self.world.checker.breach("stuck", f"{self.label} has lost {sorted(left)[:3]} of {chunk.uid}")
+                if chunk.trial.parked and not chunk.pending and not (chunk.attempts or chunk.limbo or chunk.unknown):
+                    self.world.checker.breach("stuck", f"{self.label} tries nothing of {chunk.uid}")
+
     # The watch.
 
     def _list(self, life: int) -> None:
@@ -510,7 +523,8 @@
             return
         if isinstance(effect, fx.ToPeers):
             for other in world.hosts.values():
-                if other is not self and world.now_us >= max(other.deaf_peers_until_us, self.deaf_peers_until_us):
+                if other is not self and world.now_us >= max(
+                        other.deaf_peers_until_us, other.deaf_in_until_us, self.deaf_peers_until_us):
                     for said in read_frames(effect.frames):
                         world.after(world.latency(), lambda o=other, s=said: o.give(fx.PeerSaid(s)))
             return
