--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -17,6 +17,10 @@
 log = logging.getLogger(__name__)
 
 MAX_WAITING_POLLS = 500
+#: part of this controller's requests to the state service that reads for polls may take
+READ_PART = 0.25
+#: a poll waits no longer than this for others that share its read; users wait 2 s for an answer
+READ_WAIT_US = SECOND // 4
 
 
 @dataclass(slots=True)
@@ -41,6 +45,10 @@
         self.behind: list[tuple[int, list[Waiting]]] = []  # for the view to catch up
         self.cancels: list[tuple[int, str, int, int]] = []  # to be tried again
         self.barrier_busy = False
+        facts = ctx.settings.facts
+        self.read_gap_us = min(int(SECOND * facts.size / (READ_PART * facts.state.rps)), READ_WAIT_US)
+        self.next_read_us = 0
+        self.reads = 0  # barriers so far, for tests and profiles
 
     def tick(self) -> None:
         now_us = self.ctx.now_us
@@ -49,6 +57,7 @@
         for request, uid, tries, _ in due:
             self._cancel(request, uid, tries)
         self.caught_up()
+        self._barrier()
 
     def take(self, request: UserRequest) -> None:
         if request.verb == "submit":
@@ -67,7 +76,9 @@
         running = sum(1 for s in self.shards.values() if uid in s.chunks
                       for a in s.chunks[uid].attempts.values() if a.state == m.RUNNING)
         done = records.done_count(self.ctx.view, uid)
-        return m.job_answer(uid, m.RUNNING if running else m.QUEUED, done, running)
+        why = next((s.chunks[uid].trial.why() for s in self.shards.values()
+                    if uid in s.chunks and s.chunks[uid].trial.suspected), None)
+        return m.job_answer(uid, m.RUNNING if running else m.QUEUED, done, running, why)
 
     def _never_runs(self, spec: m.JobSpec) -> str | None:
         """Why a job can never run; None if it can."""
@@ -123,11 +134,18 @@
             self._unavailable(request)
             return
         self.polls.append(Waiting(request, uid, self.ctx.now_us, then, absent))
-        if not self.barrier_busy:
-            self._barrier()
+        self._barrier()
 
     def _barrier(self) -> None:
-        """One read of the ledger serves every waiting poll; then the view must have caught up."""
+        """One read of the ledger serves every waiting poll; then the view must have caught up.
+
+        Reads keep a distance: however many users ask, they take no more than their part of the requests, and reports
+        and results keep theirs. A read made before a poll came proves nothing for it, so none is shared backwards.
+        """
+        if not self.polls or self.barrier_busy or self.ctx.now_us < self.next_read_us:
+            return
+        self.next_read_us = self.ctx.now_us + self.read_gap_us
+        self.reads += 1
         waiting, self.polls = self.polls, []
         self.barrier_busy = True
 
@@ -146,9 +164,8 @@
             else:
                 self.behind.append((ledger, waiting))
                 self.caught_up()
-            if self.polls and not self.barrier_busy:
-                # Bound: each is called by an answer of the state service, so none is within another.
-                self._barrier()
+            # Bound: each is called by an answer of the state service, so none is within another.
+            self._barrier()
 
         self.ctx.call("state", "GET", f"{m.PATH_KV}/{records.NOTHING}", None, done, timeout_us=SECOND)
 
