--- a/quinceslip/coordination/custody.py
+++ b/quinceslip/coordination/custody.py
@@ -155,6 +155,9 @@
             if not attempt.running_us:
                 attempt.running_us = self.ctx.now_us
             self.starts(worker, attempt)
+            chunk = self.chunks.get(attempt.uid)
+            if chunk is not None and attempt.spec.service and chunk.trial.stands(self.ctx.now_us - attempt.running_us):
+                self.unpark(chunk)
         attempt.state = task.state
         if task.state != m.EXITED:
             return
@@ -179,9 +182,12 @@
             self.pausing.add(chunk.uid)
             log.info("%s on %s: %s", attempt.name, worker.name, attempt.ended)
             if attempt.ended == m.CAUSE_ERROR:
-                if chunk.sound and worker.name in chunk.blamed:
+                if chunk.trial.sound and worker.name in chunk.trial.blamed:
                     worker.errors += 1
-                chunk.blamed.add(worker.name)
+                ran_us = self.ctx.now_us - attempt.running_us if attempt.running_us else 0
+                if chunk.trial.failed(worker.name, failures, ran_us) and not chunk.spec.gang:
+                    log.info("job %s is suspected of a mistake: %s", chunk.uid, chunk.trial.why())
+                    self.park(chunk)
         self.add_pending(chunk, [attempt.index])
 
     def _drop_tasks(self, worker: Worker) -> None:
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -302,7 +302,7 @@
 
     def _order(self, chunk: Chunk, worker: Worker) -> tuple[object, ...]:
         room, spec = worker.free(), chunk.spec
-        return (worker.errors > 1, worker.name in chunk.blamed, *self._preference(worker, spec),
+        return (worker.errors > 1, worker.name in chunk.trial.blamed, *self._preference(worker, spec),
                 room[0] - spec.cpus, room[2] - spec.memory_gb, worker.name)
 
     def _preferred(self, chunk: Chunk, workers: Iterable[Worker]) -> Iterable[Worker]:
@@ -311,7 +311,7 @@
         The machine that was best stays so as it fills up; the order of the others is that of the first look.
         """
         spec = chunk.spec
-        if self.state.quota is None or chunk.blamed:
+        if self.state.quota is None or chunk.trial.blamed:
             return self._by_preference(chunk, workers, None)
         shape = (spec.image, spec.cpus, spec.gpus, spec.memory_gb, tuple(spec.types or ()), spec.zone, spec.spot,
                  spec.service, spec.job_class)
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -8,6 +8,7 @@
 from quinceslip.coordination.context import SECOND, micros
 from quinceslip.coordination.effects import NOT_SENT, Urgency
 from quinceslip.coordination.state import Attempt, Chunk, ShardState
+from quinceslip.mistakes.trial import Trial
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records, tasksets
 
@@ -45,7 +46,8 @@
                 self._end_job(chunk)
             return
         if chunk is None:
-            chunk = state.chunks[uid] = Chunk(uid, job.spec, job.at_us, due_us=self._due_us(job.spec, job.at_us))
+            chunk = state.chunks[uid] = Chunk(uid, job.spec, job.at_us, due_us=self._due_us(job.spec, job.at_us),
+                                              trial=Trial(self.ctx.tuning.suspect_mistakes))
             if not inherited:
                 self.arrived += 1
         own, done = tasksets.decode(record.own), tasksets.decode(record.done)
@@ -60,6 +62,9 @@
         for index in removed | more_done:
             chunk.pending.discard(index)
             chunk.unknown.discard(index)
+            chunk.trial.parked.discard(index)
+        if chunk.trial.parked and not chunk.pending and not chunk.attempts:
+            state.add_pending(chunk, sorted(chunk.trial.parked))  # what was tried is here no more: the next one
         stamp = view.stamp(self._key(uid))
         if chunk.limbo and stamp > chunk.limbo_stamp:
             # The record changed since, so the move was either applied or never can be.
@@ -211,7 +216,8 @@
 
     def movable(self, chunk: Chunk) -> list[int]:
         """Tasks certain not to be running; all or nothing where zones bind the tasks together."""
-        if chunk.flushing or chunk.moving or chunk.limbo or chunk.unknown:
+        # What is suspected of a mistake stays where that is known.
+        if chunk.flushing or chunk.moving or chunk.limbo or chunk.unknown or chunk.trial.suspected:
             return []
         if chunk.spec.whole:
             whole = len(chunk.pending) == len(chunk.own) - len(chunk.done) and not chunk.new_done
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -151,11 +151,11 @@
     def completes(self, worker: Worker, attempt: Attempt, chunk: Chunk) -> None:
         self.recorder.result(chunk)
         # The job is sound, so the workers on which it failed are not.
-        chunk.sound = True
-        for name in chunk.blamed - {worker.name}:
+        self.unpark(chunk)
+        for name in chunk.trial.blamed - {worker.name}:
             if name in self.workers:
                 self.workers[name].errors += 1
-        chunk.blamed -= {worker.name}
+        chunk.trial.blamed -= {worker.name}
         log.debug("%s is done on %s: sent %.1f s, running %.1f s ago", attempt.name, worker.name,
                   (self.ctx.now_us - attempt.sent_us) / SECOND, (self.ctx.now_us - attempt.running_us) / SECOND)
         if attempt.running_us:
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -12,6 +12,7 @@
 
 from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.ownership import Ownership
+from quinceslip.mistakes.trial import Trial
 from quinceslip.protocol import messages as m
 
 log = logging.getLogger(__name__)
@@ -172,13 +173,11 @@
     failures: dict[int, int] = field(default_factory=dict)
     limbo: set[int] = field(default_factory=set)  # part of a move whose outcome is open
     limbo_stamp: int = 0
-    sound: bool = False  # some task of it has completed
+    trial: Trial = field(default_factory=Trial)  # whether its failures are its own
     flushing: bool = False
     moving: bool = False
     next_flush_us: int = 0
     next_result_us: int = 0
-    blamed: set[str] = field(default_factory=set)  # workers on which tasks of it failed
-
     zones: set[str] = field(default_factory=set)  # empty: any
     due_us: list[int] = field(default_factory=list)  # wall clocks by which the users want it done, earliest first
     late: int = 0  # how many of these it is expected to miss
@@ -338,15 +337,35 @@
         worker (exited, lost, refused), but a newer attempt may live on one that has not spoken yet.
         """
         for index in indices:
+            # Guard: of a job that is suspected of a mistake one task is tried at a time; gangs run whole or not at all.
+            if chunk.trial.suspected and not chunk.spec.gang and (chunk.attempts or chunk.pending):
+                if index in chunk.own and index not in chunk.done and index not in chunk.new_done:
+                    chunk.trial.parked.add(index)
+                continue
             if index not in chunk.attempts and index not in chunk.done and index not in chunk.new_done \
                     and index not in chunk.limbo and index in chunk.own \
                     and (index not in chunk.unknown or "unknown" not in self.guards):
+                chunk.trial.parked.discard(index)
                 chunk.pending.push(index)
                 self.dirty = True
         if chunk.pending and self.chunks.get(chunk.uid) is chunk and self.queued.get(chunk.uid) is not chunk:
             self.queued[chunk.uid] = chunk
             self.sorted = None
 
+    def park(self, chunk: Chunk) -> None:
+        """Its job is suspected: none of its waiting tasks starts while one that was started is still there."""
+        waiting = list(chunk.pending)
+        for index in waiting:
+            chunk.pending.discard(index)
+        self.add_pending(chunk, waiting)
+
+    def unpark(self, chunk: Chunk) -> None:
+        """The job is sound after all."""
+        parked = chunk.trial.cleared()
+        if parked:
+            log.info("job %s is cleared: %d tasks of it wait again", chunk.uid, len(parked))
+        self.add_pending(chunk, parked)
+
     def ordered(self) -> list[Chunk]:
         """Chunks with waiting tasks, in the order in which they are served.
 
--- a/quinceslip/protocol/messages.py
+++ b/quinceslip/protocol/messages.py
@@ -197,8 +197,12 @@
     events: list[Event] = []
 
 
-def job_answer(uid: str, status: str, done: int | None = None, running: int | None = None) -> dict[str, Any]:
+def job_answer(uid: str, status: str, done: int | None = None, running: int | None = None,
+               why: str | None = None) -> dict[str, Any]:
+    """`why` is for people: a receiver ignores fields that it does not know (PROTOCOL)."""
     body: dict[str, Any] = {"uid": uid, "status": status}
+    if why is not None:
+        body["why"] = why
     if done is not None:
         body |= {"done": done, "running": running or 0}
     return body
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -103,6 +103,7 @@
     hire_fraction: Annotated[float, Meta(gt=0, le=2)] = 0.8
     end_at_standstill: bool = True
     tell_supply: bool = True
+    suspect_mistakes: bool = True
     log_level: str = ""
 
 
