--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -179,7 +179,8 @@
     settings = load_settings(arguments.config)
     operators = read_operator_file(arguments.operator_config)
     tuning = load_tuning(arguments.operator_config, operators)
-    made = makers(settings, operators, str(arguments.operator_config or arguments.config))
+    made = makers(settings, operators, str(arguments.operator_config or arguments.config),
+                  tuning.fair_teams)
     level = os.environ.get("LOG_LEVEL") or tuning.log_level or "error"
     if level not in LEVELS:
         raise SettingsError(f"LOG_LEVEL = {level}: must be error, info or debug")
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -104,6 +104,7 @@
     end_at_standstill: bool = True
     tell_supply: bool = True
     suspect_mistakes: bool = True
+    fair_teams: bool = True
     log_level: str = ""
 
 
--- a/quinceslip/quota/config.py
+++ b/quinceslip/quota/config.py
@@ -174,10 +174,12 @@
     return (cpus, gpus, UNLIMITED, UNLIMITED) if cpus or gpus else ZERO
 
 
-def load_tree(parser: configparser.ConfigParser | None, teams: Iterable[Team], source: str = "") -> Tree | None:
+def load_tree(parser: configparser.ConfigParser | None, teams: Iterable[Team], source: str = "",
+              fair: bool = False) -> Tree | None:
     """The tree of the operators' file; None where neither it nor the platform's teams say anything.
 
-    Without a file, every team with an amount stands on its own.
+    Without a file, every team stands on its own. `fair`: several teams that nothing is said of have a tree as well,
+    whose weights alone divide what is free.
     Raises SettingsError, naming section, key and value.
     """
     teams = list(teams)
@@ -192,4 +194,5 @@
     reader.check()
     tree = Tree(reader.levels.values(), version)
     reader.guarantees(tree)
-    return tree if any(level.capped or level.guaranteed for level in tree.levels) else None
+    said = any(level.capped or level.guaranteed for level in tree.levels)
+    return tree if said or (fair and len(tree.leaves) > 1) else None
--- a/quinceslip/subsystems.py
+++ b/quinceslip/subsystems.py
@@ -6,16 +6,20 @@
 from quinceslip.protocol.settings import Settings
 
 
-def makers(settings: Settings, operators: configparser.ConfigParser, source: str = "") -> list[Maker]:
-    """The subsystems that are switched on; raises SettingsError for what cannot be used."""
+def makers(settings: Settings, operators: configparser.ConfigParser, source: str = "",
+           fair_teams: bool = True) -> list[Maker]:
+    """The subsystems that are switched on; raises SettingsError for what cannot be used.
+
+    `fair_teams`: several teams divide what is free between them even where nothing limits or guarantees them anything.
+    """
     found: list[Maker] = []
     teams = settings.facts.teams
     if any(s.split(" ")[0] == "quota" for s in operators.sections()) or any(
-            t.cpus or t.cpus_max or t.gpus or t.gpus_max for t in teams):
+            t.cpus or t.cpus_max or t.gpus or t.gpus_max for t in teams) or (fair_teams and len(teams) > 1):
         from quinceslip.quota.config import load_tree
         from quinceslip.quota.keeper import attach
 
-        tree = load_tree(operators, teams, source)
+        tree = load_tree(operators, teams, source, fair_teams)
         if tree is not None:
             found.append(attach(tree))
     return found
--- a/tests/test_quota_properties.py
+++ b/tests/test_quota_properties.py
@@ -188,3 +188,38 @@
     """The exact division of a fraction."""
     whole = amount.denominator
     return [f / whole for f in exact(amount.numerator, [(w, most * whole) for w, most in leaves])]
+
+
+arrivals = st.lists(st.tuples(st.integers(0, 3), st.integers(1, 80)), min_size=1, max_size=6)
+
+
+@settings(max_examples=120, deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, 3), min_size=2, max_size=4), arrivals, st.integers(4, 24),
+       st.randoms(use_true_random=False))
+def test_a_flood_leaves_every_team_its_part(weights: list[int], jobs: list, slots: int, chance) -> None:
+    """No caps, no guarantees, nothing stopped. Whoever came first and with however much: once what ran when somebody
+    came has ended, every team has its part of the places, or all that it asked for.
+
+    The reference fills a plain list of places: each that is free goes to the team with least for its weight.
+    """
+    bed = Bed(Tree([Level(f"t{i}", weight=w, team=True) for i, w in enumerate(weights)]), 1, float(slots))
+    for team, tasks in jobs:
+        bed.submit(f"t{team % len(weights)}", tasks)
+        there = sorted(bed.running(), key=lambda a: a.name)
+        chance.shuffle(there)
+        bed.pass_()
+        for attempt in there:
+            bed.finish(attempt)
+            bed.pass_()
+        used, wants = [0] * len(weights), [0] * len(weights)
+        for attempt in bed.running():
+            used[int(attempt.spec.team[1:])] += round(attempt.spec.cpus)
+        for chunk in bed.state.chunks.values():
+            wants[int(chunk.spec.team[1:])] += round(chunk.spec.cpus) * len(chunk.pending)
+        places = [0] * len(weights)
+        for _ in range(slots):
+            open_ = [i for i, most in enumerate(wants) if places[i] < most + used[i]]
+            if open_:
+                places[min(open_, key=lambda i: (places[i] / weights[i], i))] += 1
+        for got, part in zip(used, places, strict=True):
+            assert got >= part - 1 and 2 * got >= part - 1, (used, places, wants)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -620,6 +620,32 @@
         """records KIND N: so many of a kind in the state service"""
         assert sum(key.startswith(f"q/{args[0]}/") for key in self.w().state.data) == int(args[1])
 
+    def check_told_something(self, args: list[str], named: dict[str, Any]) -> None:
+        """told_something: refusals were seen and heard, strays written down, wants recorded"""
+        kinds = {e.get("write", "").split("/")[1] for e in self.w().state.history if "write" in e}
+        assert {"stray", "want", "load"} <= kinds, kinds
+        known = [h.node.provision.supply.view() for h in self.w().hosts.values() if h.node is not None]
+        assert any(len(view) > 1 and any(view.values()) for view in known), known
+
+    def check_died_out(self, args: list[str], named: dict[str, Any]) -> None:
+        """died_out: nothing told in the past is told or counted any more, at any controller"""
+        world = self.w()
+        for host in world.hosts.values():
+            node = host.node
+            assert node is not None
+            supply = node.provision.supply
+            assert not supply.tell(world.now_us)
+            assert not any(supply.rests(kind, world.now_us) for kind in list(supply.rest))
+            assert not node.reach.strays() and not any(node.reach.written(s) for s in range(self.facts["size"]))
+            loads = {load.shard: load for load in node.balancer.peer_loads()}
+            assert not any(load.waiting for load in [*loads.values(), *node.balancer.loads()])
+            for other in world.hosts.values():
+                for shard in other.node.shards.values() if other.node is not None and other is not host else ():
+                    assert abs(loads[shard.index].room - shard.room()) <= 8, (loads, shard.room())
+                    assert abs(loads[shard.index].quick_room - shard.quick_room()) <= 16
+        left = [key for key in world.state.data if key.split("/")[1] in ("want", "stray", "hire", "standstill")]
+        assert not left, left
+
     def check_roster(self, args: list[str], named: dict[str, Any]) -> None:
         roster = [k for k in self.w().state.data if k.startswith("q/roster/")]
         assert len(roster) == len(self.w().cloud.machines), (roster, list(self.w().cloud.machines))
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,6 +23,8 @@
 from tests.checker import Checker
 
 US = SECOND
+#: what frames of this network's latency and their milliseconds may make of a moment
+LATE_US = 10_000
 
 
 class World:
@@ -469,8 +471,24 @@
         if life == self.life and self.node is not None:
             self.give(fx.Tick())
             self._nothing_is_lost()
+            self._nothing_is_younger()
             self.world.after(100_000, lambda: self._beat(life))
 
+    def _nothing_is_younger(self) -> None:
+        """What is known of a peer's sightings is one of its own, as old as it is; hearsay is nobody's own."""
+        supply = self.node.provision.supply if self.node is not None else None
+        for origin, theirs in supply.view().items() if supply is not None else ():
+            node = self.world.hosts[origin].node
+            own = {} if node is None else node.provision.supply.view().get(origin, {})
+            for kind, known in theirs.items():
+                mine = own.get(kind)
+                version = (known.sighting.born, known.sighting.number)
+                if known.at_us > self.world.now_us or (
+                        mine is not None and version > (mine.sighting.born, mine.sighting.number)) or (
+                        mine is not None and version == (mine.sighting.born, mine.sighting.number)
+                        and not mine.at_us <= known.at_us <= mine.at_us + LATE_US):
+                    self.world.checker.breach("hearsay", f"{self.label} knows more of {kind} than {origin} saw")
+
     def _nothing_is_lost(self) -> None:
         """Every task of ours that is not done waits, runs, or is known to be in doubt: none that nobody will start."""
         for shard in self.node.shards.values() if self.node is not None else ():
