--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -60,6 +60,14 @@
     fleet.add_argument("--seconds", type=float, default=60.0, help="simulated seconds (60)")
     fleet.add_argument("--seed", type=int, default=1)
     fleet.set_defaults(act=bench_fleet)
+    room = benches.add_parser("supply", help="how often controllers ask in vain, how soon they find room")
+    room.add_argument("--controllers", type=int, nargs="+", default=[3, 9, 27, 64], metavar="N")
+    room.add_argument("--kinds", type=int, default=4, help="kinds of machines that run short (4)")
+    room.add_argument("--rps", type=float, default=8.0, help="calls a second that the cloud takes (8)")
+    room.add_argument("--seconds", type=float, default=1800.0, help="simulated seconds (1800)")
+    room.add_argument("--seed", type=int, default=1)
+    room.add_argument("-o", "--output", type=Path, metavar="FILE", help="one HTML page (needs requirements-plots.txt)")
+    room.set_defaults(act=bench_supply)
     drawn = benches.add_parser("plot", help="one HTML page of what `fleet` printed (needs requirements-plots.txt)")
     drawn.add_argument("files", type=Path, nargs="+", metavar="FILE")
     drawn.add_argument("-o", "--output", type=Path, required=True, metavar="FILE")
@@ -100,6 +108,20 @@
     return 0
 
 
+def bench_supply(arguments: argparse.Namespace) -> int:
+    import json
+
+    from quinceslip.bench.supply import measure, write_page
+
+    runs = [measure(count, told, arguments.kinds, arguments.seconds, arguments.seed, arguments.rps)
+            for count in arguments.controllers for told in (True, False)]
+    for run in runs:
+        print(json.dumps(run), flush=True)
+    if arguments.output:
+        print(write_page(runs, arguments.output))
+    return 0
+
+
 def model_quota(arguments: argparse.Namespace) -> int:
     from quinceslip.quota.commands import run_model
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -25,6 +25,7 @@
 import msgspec
 import pytest
 
+from quinceslip.bench import supply
 from quinceslip.bench.fleet import measure
 from quinceslip.bench.plots import write_page
 from quinceslip.coordination.balance import (
@@ -855,6 +856,19 @@
                           read_steps(str(named.get("after", ""))))
         assert bool(result.breach) == ("without" in named), (named, result)
 
+    def do_supply(self, plain: list[str], named: dict[str, Any]) -> None:
+        """supply N ... vain=TIMES found=S: requests in vain against those of one alone; most seconds to find room"""
+        counts = [1, *map(int, plain)]
+        runs = [supply.measure(count, True, 4, 600.0, 1, 8.0) for count in counts]
+        assert all(run["vain_a_minute"] <= named["vain"] * runs[0]["vain_a_minute"] for run in runs), runs
+        assert all(run["found_s"]["p95"] <= named["found"] for run in runs), runs
+        alone = [supply.measure(count, False, 4, 600.0, 1, 8.0) for count in counts]
+        assert alone[-1]["vain_a_minute"] > 5 * runs[-1]["vain_a_minute"], (alone, runs)
+        with tempfile.TemporaryDirectory() as folder:
+            target = Path(folder) / "page.html"
+            assert supply.write_page(runs + alone, target) == f"{target}: {len(runs + alone)} runs"
+            assert "seconds until room" in target.read_text(encoding="utf-8")
+
     def do_fleet_work(self, plain: list[str], named: dict[str, Any]) -> None:
         """fleet_work SMALL LARGE seconds=S KIND=TIMES ...: calls for a message may grow by so much at the most"""
         seconds = float(named.pop("seconds"))
