--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -337,14 +337,14 @@
         worker (exited, lost, refused), but a newer attempt may live on one that has not spoken yet.
         """
         for index in indices:
-            # Guard: of a job that is suspected of a mistake one task is tried at a time; gangs run whole or not at all.
-            if chunk.trial.suspected and not chunk.spec.gang and (chunk.attempts or chunk.pending):
-                if index in chunk.own and index not in chunk.done and index not in chunk.new_done:
-                    chunk.trial.parked.add(index)
-                continue
             if index not in chunk.attempts and index not in chunk.done and index not in chunk.new_done \
                     and index not in chunk.limbo and index in chunk.own \
                     and (index not in chunk.unknown or "unknown" not in self.guards):
+                if chunk.trial.suspected and not chunk.spec.gang and (chunk.attempts or chunk.pending):
+                    # Guard: of a job that is suspected of a mistake one task is tried at a time; gangs run whole or
+                    # not at all.
+                    chunk.trial.parked.add(index)
+                    continue
                 chunk.trial.parked.discard(index)
                 chunk.pending.push(index)
                 self.dirty = True
