--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -31,6 +31,8 @@
 LEAST_ABSORBED = 0.05
 #: a boot that takes so many times as long as usual is not counted on
 LATE_BOOT = 1.6
+#: a silent machine is asked so much later than it may be at the most: looks are half a second apart
+ASKED_US = SECOND
 #: so many silent machines at least make a zone that is cut off
 DARK_LEAST = 3
 #: questions that fail take so long at the most: what is heard later was not cut off together with the silent ones
@@ -279,9 +281,8 @@
         heard = sum(bool(w.heard_us) and not w.deaf for w in known)
         mostly_heard = 2 * heard >= len(known) or (len(known) <= 2 and self.ownership.entitled())
         # At the moment of a cut the first machines count as silent while the others were heard just before it: one is
-        # only known to be silent by itself once another was heard when its own next report was overdue.
+        # only known to be silent by itself if another was heard since it was first asked in vain.
         newest_us = max((w.heard_us for w in known if not w.deaf), default=0)
-        overdue_us = 5 * self.ctx.timing.report_us // 4
         dark = self._dark_zones(shard)
         idle_rank = {True: 0, False: 0}
         headroom: tuple[int | None, float] | None = None
@@ -291,7 +292,8 @@
             boot_us = micros(worker.type.boot_s)
             host = self.inventory.hosts.get(worker.name)
             deaf = worker.deaf >= PROBES and mostly_heard and worker.zone not in dark and (
-                len(known) <= 2 or newest_us > max(worker.heard_us, shard.taken_us) + overdue_us)
+                len(known) <= 2
+                or newest_us > max(worker.heard_us, shard.taken_us) + shard.patience_us(worker) + ASKED_US)
             if worker.name in shard.unresolved and deaf:
                 # Deleted, it is certain to be gone, and what it may have held can start elsewhere.
                 log.info("inherited worker %s does not answer: replaced", worker.name)
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -200,14 +200,19 @@
                 worker.idle_us = now_us
             silent_us = now_us - max(worker.heard_us, self.taken_us)
             inherited = worker.name in self.unresolved
-            # Replicas that stand still are noticed at once, so their machines are asked early.
-            patience_us = min(self.ctx.timing.probe_us, SERVICE_PROBE_US) if worker.service_tasks \
-                else self.ctx.timing.probe_us
+            patience_us = self.patience_us(worker)
             if not worker.probing and worker.endpoint and now_us >= worker.next_probe_us and (inherited or (
                     worker.attempts and worker.heard_us and silent_us > patience_us)):
                 worker.next_probe_us = now_us + SECOND // 2
                 self.commander.probe(worker)
 
+    def patience_us(self, worker: Worker) -> int:
+        """How long a machine may be silent before it is asked; one that was inherited is asked at once."""
+        if worker.name in self.unresolved:
+            return 0
+        # Replicas that stand still are noticed at once, so their machines are asked early.
+        return min(self.ctx.timing.probe_us, SERVICE_PROBE_US) if worker.service_tasks else self.ctx.timing.probe_us
+
     def _foresee(self) -> None:
         queue = [c for c in self.ordered() if not c.held]
         if queue:
