--- a/quinceslip/supply/knowledge.py
+++ b/quinceslip/supply/knowledge.py
@@ -12,9 +12,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from quinceslip.coordination.context import SECOND
 from quinceslip.protocol.frames import Sighting
 
+SECOND = 1_000_000
 #: machine type, zone, spot
 Kind = tuple[str, str, bool]
 #: part of the cloud's calls that may go to kinds that were short when they were last asked for
