--- a/quinceslip/bench/supply.py
+++ b/quinceslip/bench/supply.py
@@ -1,8 +1,8 @@
 """How often many controllers ask the cloud for what it has not, and how soon they find what it has again.
 
 The real `Supply` of each controller, in virtual time, against a cloud whose kinds of machines run short and come back.
-All controllers want machines of every kind all the time, which is the worst there is. Heartbeats take a few
-milliseconds, and some are lost. Counts repeat exactly for one seed.
+All controllers want machines of every kind all the time, which is the worst there is. Heartbeats arrive at once, and
+some are lost. Counts repeat exactly for one seed.
 """
 
 import random
@@ -13,6 +13,7 @@
 
 from quinceslip import drawing
 from quinceslip.coordination.context import SECOND
+from quinceslip.coordination.node import NEWS_US
 from quinceslip.protocol import frames
 from quinceslip.supply.knowledge import Kind, Supply
 
@@ -52,7 +53,7 @@
                         vain += short[kind]
                         if not short[kind] and kind in back:
                             found.append((now_us - back.pop(kind)) / SECOND)
-            if now_us >= next_beat[place] - (3 * SECOND // 4 if node.news else 0):
+            if now_us >= next_beat[place] - (NEWS_US if node.news else 0):
                 next_beat[place] = now_us + SECOND
                 seen = node.tell(now_us)
                 if seen:
--- a/quinceslip/coordination/custody.py
+++ b/quinceslip/coordination/custody.py
@@ -155,9 +155,10 @@
             if not attempt.running_us:
                 attempt.running_us = self.ctx.now_us
             self.starts(worker, attempt)
-            chunk = self.chunks.get(attempt.uid)
-            if chunk is not None and attempt.spec.service and chunk.trial.stands(self.ctx.now_us - attempt.running_us):
-                self.unpark(chunk)
+            if attempt.spec.service:
+                chunk = self.chunks.get(attempt.uid)
+                if chunk is not None and chunk.trial.stands(self.ctx.now_us - attempt.running_us):
+                    self.unpark(chunk)
         attempt.state = task.state
         if task.state != m.EXITED:
             return
--- a/quinceslip/coordination/reach.py
+++ b/quinceslip/coordination/reach.py
@@ -73,11 +73,12 @@
 
     def note(self) -> None:
         """Write down whose workers come here in vain; take it back once there are none."""
+        if self._writing or self.ctx.now_us < self._next_write_us:
+            return
         label, view = self.ctx.settings.label, self.ctx.view
         key = records.stray_key(label)
         strays = [(shard, count) for shard, count in self.strays() if count >= LEAST]
-        known = view.by_kind["stray"].get(label)
-        if self._writing or (not strays and known is None) or self.ctx.now_us < self._next_write_us:
+        if not strays and label not in view.by_kind["stray"]:
             return
         self._writing, self._next_write_us = True, self.ctx.now_us + WRITE_US
 
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -73,11 +73,10 @@
     def _status(self, uid: str, job: records.JobRecord) -> dict[str, object]:
         if records.is_final(job):
             return m.job_answer(uid, job.state, job.done, 0)
-        running = sum(1 for s in self.shards.values() if uid in s.chunks
-                      for a in s.chunks[uid].attempts.values() if a.state == m.RUNNING)
+        chunks = [s.chunks[uid] for s in self.shards.values() if uid in s.chunks]
+        running = sum(a.state == m.RUNNING for c in chunks for a in c.attempts.values())
         done = records.done_count(self.ctx.view, uid)
-        why = next((s.chunks[uid].trial.why() for s in self.shards.values()
-                    if uid in s.chunks and s.chunks[uid].trial.suspected), None)
+        why = next((c.trial.why() for c in chunks if c.trial.suspected), None)
         return m.job_answer(uid, m.RUNNING if running else m.QUEUED, done, running, why)
 
     def _never_runs(self, spec: m.JobSpec) -> str | None:
--- a/quinceslip/quota/rounds.py
+++ b/quinceslip/quota/rounds.py
@@ -66,7 +66,7 @@
                 # that their guarantee gives it to.
                 yield self._fairest(chunks)
                 yield from self._lend(chunks, workers, least_cpus)
-                # In the same order: a room too small for whoever is furthest below its part is kept for it.
+                # In the same order: what is left over goes first to whoever is furthest below its part.
                 chunks = self._fairest(c for c in chunks if c.pending) if self.held_back else []
                 self.targets = {}
             if chunks:
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -9,7 +9,7 @@
   hire/<name>          a rental request that is about to be made
   load/<n>             the load of shard n, recorded every few seconds
   standstill/<label>   where the actor of that controller last stood still, and how often in a row
-  stray/<label>        whose workers came to that controller in vain, where their owner's heartbeats do not
+  stray/<label>        how many workers of which shards came to that controller in vain, while some do
   types                the machine types, for nodes that start while the cloud is away
 """
 
--- a/quinceslip/supply/knowledge.py
+++ b/quinceslip/supply/knowledge.py
@@ -10,7 +10,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from quinceslip.protocol.frames import Sighting
 
@@ -90,8 +90,8 @@
         mine = self.known.get(self.label, {})
         for kind in [k for k, known in mine.items() if now_us - known.at_us > MOST_REST_US]:
             del mine[kind]
-        return [Sighting(k.sighting.kind, self.born, k.sighting.number, now_us - k.at_us, k.sighting.asked,
-                         k.sighting.granted) for k in sorted(mine.values(), key=lambda k: -k.at_us)]
+        newest = sorted(mine.values(), key=lambda k: -k.at_us)
+        return [replace(k.sighting, age_us=now_us - k.at_us) for k in newest]
 
     def heard(self, origin: str, sightings: Iterable[Sighting], now_us: int) -> None:
         """What a peer says that it saw itself. Costs by what is new of it."""
