Within its grace an owner still tells what is over to end; settings without room for a hold are refused

Cause: an owner that heard of a cancellation, and whose halts were lost (machines cut, an answer that did not come), lost the state service later. In its grace it answered reports without any command, so each answer renewed the lease of cancelled work: it was on its machine until its last contact + hold + grace + lease, and the bound counts from that contact, not from the user's answer. The same after a takeover just before an outage, and for a report that a direct reply had overtaken. Change: answers always carry the halts of what belongs to a job that is done or withdrawn for ever; that needs no right. Nothing else is said without entitlement. Before, such settings gave a grace of 0 and a sum beyond cancel_s.

--- a/quinceslip/cli.py
+++ b/quinceslip/cli.py
@@ -53,6 +53,11 @@
     takeover.add_argument("--only", default="", metavar="STEP,...", help="only these kinds of steps, to reach deeper")
     takeover.add_argument("--after", default="", metavar="STEP:N:N,...", help="begin after these steps")
     takeover.set_defaults(act=model_takeover)
+    gap = models.add_parser("gap", help="a cancellation that the owner of a task cannot hear of, every history of it")
+    gap.add_argument("--without", default="", metavar="GUARD", help="leave one guard out: a breach must be found")
+    for name, default, text in (("lease", 4, "a worker's lease"), ("cancel", 12, "cancel_s")):
+        gap.add_argument(f"--{name}", type=int, default=default, help=f"{text}, in units of 1.5 s ({default})")
+    gap.set_defaults(act=model_gap)
     bench = commands.add_parser("bench", help="measure parts of the service on this machine")
     benches = bench.add_subparsers(dest="part", required=True, metavar="WHAT")
     fleet = benches.add_parser("fleet", help="work and processor time of a controller, by kind of message")
@@ -91,6 +96,20 @@
     return 0 if bool(found.breach) == bool(arguments.without) else 1
 
 
+def model_gap(arguments: argparse.Namespace) -> int:
+    from quinceslip.models.gap import explore
+
+    try:
+        found = explore(arguments.without, lease=arguments.lease, cancel=arguments.cancel)
+    except ValueError as error:
+        raise SettingsError(str(error)) from error
+    print(f"{found.states} states")
+    for what, *_ in found.history:
+        print(f"  {what}")
+    print(found.breach or f"no breach; the task is there {found.depth} units after its user was told at the most")
+    return 0 if bool(found.breach) == bool(arguments.without) else 1
+
+
 def bench_plot(arguments: argparse.Namespace) -> int:
     from quinceslip.bench.plots import write_page
 
@@ -198,9 +217,15 @@
 
 
 def _load(arguments: argparse.Namespace) -> tuple[Settings, Tuning, str, list[Maker]]:
+    from quinceslip.coordination.context import Timing
+
     settings = load_settings(arguments.config)
     operators = read_operator_file(arguments.operator_config)
     tuning = load_tuning(arguments.operator_config, operators)
+    try:
+        Timing(settings)
+    except SettingsError as error:
+        raise SettingsError(f"{arguments.config}: {error}") from error
     made = makers(settings, operators, str(arguments.operator_config or arguments.config),
                   tuning.fair_teams)
     level = os.environ.get("LOG_LEVEL") or tuning.log_level or "error"
--- a/quinceslip/coordination/commands.py
+++ b/quinceslip/coordination/commands.py
@@ -28,13 +28,20 @@
         self.recorder = recorder
         self.reported = reported
 
-    def orders(self, worker: Worker) -> list[m.Command]:
-        """What the answer to a report says; repeated until a report shows it happened."""
+    def orders(self, worker: Worker, entitled: bool = True) -> list[m.Command]:
+        """What the answer to a report says; repeated until a report shows it happened.
+
+        Guard: whoever is not entitled still tells what is over to end. An owner may have heard of a cancellation long
+        before it lost the state service, and its halts may have been lost; an answer without them would renew the
+        lease of cancelled work until after `cancel_s`. A final record stays final, so this needs no right.
+        """
         state = self.state
         halts: list[m.Command] = []
         launches: list[m.Command] = []
         reaps: list[m.Command] = []
         for name, attempt in list(worker.attempts.items()):
+            if not entitled and not (attempt.halting and not attempt.ended and self._over(attempt.uid)):
+                continue
             if not attempt.seen:
                 if attempt.halting:
                     if state.settled(worker, attempt) or "pinned" not in state.guards:
@@ -44,7 +51,8 @@
                         continue
                     # A direct launch may still arrive: let the attempt exist, ended.
                     launches += [m.launch(name, attempt.number), m.halt(name, attempt.number, 0.0)]
-                    state.raise_term()
+                    if entitled:
+                        state.raise_term()
                 else:
                     launches.append(m.launch(name, attempt.number))
                     attempt.told = True
@@ -62,9 +70,9 @@
             if known is not None and known.number == task.attempt:
                 continue
             if task.state == m.EXITED:
-                if worker.confirmed and not self._result_open(name, task):
+                if entitled and worker.confirmed and not self._result_open(name, task):
                     reaps.append(m.reap(name, task.attempt))
-            elif self._unwanted(worker, name, task.attempt):
+            elif self._over(name.rpartition("/")[0]) or (entitled and self._unwanted(worker, name, task.attempt)):
                 halts.append(m.halt(name, task.attempt, 0.0))
         return halts + launches + reaps
 
@@ -75,13 +83,13 @@
         return chunk is not None and number.isdigit() and task.why == m.CAUSE_DONE \
             and int(number) in chunk.own and int(number) not in chunk.done
 
+    def _over(self, uid: str) -> bool:
+        """Whether its job is done or withdrawn, for ever."""
+        job = self.ctx.view.job(uid)
+        return job is not None and records.is_final(job)
+
     def _unwanted(self, worker: Worker, name: str, attempt: int) -> bool:
         uid, _, number = name.rpartition("/")
-        job = self.ctx.view.job(uid)
-        if job is None:
-            return False
-        if records.is_final(job):
-            return True
         chunk = self.state.chunks.get(uid)
         if chunk is None or not number.isdigit():
             return False
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -8,7 +8,7 @@
 
 from quinceslip.coordination.effects import UNKNOWN, Answer, Call, Effect, Reply, Urgency
 from quinceslip.protocol import messages
-from quinceslip.protocol.settings import Settings, Team, Tuning
+from quinceslip.protocol.settings import Settings, SettingsError, Team, Tuning
 from quinceslip.standstill import notes
 from quinceslip.storage.records import View
 
@@ -17,6 +17,10 @@
 SECOND = 1_000_000
 #: the steady clocks of two machines drift apart by at most this (PROTOCOL)
 DRIFT = 0.0005
+#: the state service takes holds of up to ten minutes (PROTOCOL); a shorter one than a second is lost by any hiccup
+LEAST_HOLD_US, MOST_HOLD_US = SECOND, 600 * SECOND
+#: longer periods than a day are no such settings, and would not fit what is derived from them
+LONGEST_S = 86_400
 #: workers drop the answer to a report after this long (PROTOCOL)
 REPORT_WAIT_US = 4 * SECOND
 
@@ -29,19 +33,36 @@
 
 
 class Timing:
-    """Every period of the protocol between owners, derived from the settings alone."""
+    """Every period of the protocol between owners, derived from the settings alone.
+
+    Raises SettingsError for settings under which no hold fits between a worker's lease and `cancel_s`.
+    """
 
     def __init__(self, settings: Settings) -> None:
         workers = settings.facts.workers
+        for name, given_s in (("report_s", workers.report_s), ("lease_s", workers.lease_s),
+                              ("cancel_s", workers.cancel_s)):
+            if given_s > LONGEST_S:
+                raise SettingsError(f"facts.workers.{name} = {given_s:g}: more than {LONGEST_S} s")
+        if workers.report_s * 1.25 >= workers.lease_s:
+            raise SettingsError(f"facts.workers.report_s = {workers.report_s:g}: a worker's lease (lease_s = "
+                                f"{workers.lease_s:g}) runs out between two reports")
         self.report_us = micros(workers.report_s)
         self.lease_us = micros(workers.lease_s)
         cancel_us = micros(workers.cancel_s)
-        # A third of the lease: a successor is up well before the workers of a dead owner give up.
-        self.hold_us = min(max(self.lease_us // 3, 2 * SECOND), cancel_us // 6)
         margin_us = SECOND + int(2 * DRIFT * cancel_us)
+        # What a cancellation leaves to an owner that cannot hear of it (docs/design.md, "The gap").
+        left_us = cancel_us - self.lease_us - 2 * margin_us
+        if left_us < LEAST_HOLD_US:
+            raise SettingsError(
+                f"facts.workers.cancel_s = {workers.cancel_s:g}: lease_s = {workers.lease_s:g} and margins of "
+                f"{2 * margin_us / SECOND:g} s leave no hold of {LEAST_HOLD_US // SECOND} s; nobody could keep to it")
+        # A third of the lease: a successor is up well before the workers of a dead owner give up.
+        self.hold_us = min(max(self.lease_us // 3, 2 * SECOND), max(cancel_us // 6, LEAST_HOLD_US), left_us,
+                           MOST_HOLD_US)
         # An owner that lost the state service answers its workers for this long past its hold:
         # hold + grace + lease must end before a cancellation it cannot hear of falls due.
-        self.grace_us = max(0, cancel_us - self.hold_us - self.lease_us - 2 * margin_us)
+        self.grace_us = left_us - self.hold_us
         self.margin_us = margin_us
         self.lost_us = int(self.lease_us * (1 + 2 * DRIFT)) + margin_us
         # Reports come every report_s, a quarter more at most; later than this, a worker is asked.
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -103,7 +103,7 @@
         if not self.hear(worker, report):
             # A direct reply has overtaken it, and its sender may still wait for the answer.
             worker.answered_us = worker.report_us = now_us
-            return m.CommandReply(self.term, [])
+            return m.CommandReply(self.term, self.commander.orders(worker, entitled=False))
         if self.placement.usable(worker) != usable or (direct and (
                 worker.used_cpus < used_cpus or self.quota is not None or self._urgent())):
             self.dirty = True
@@ -119,7 +119,7 @@
         if not worker.armed:
             self.to_arm.add(worker.name)
         self.placement.fill(worker)
-        reply = m.CommandReply(self.term, self.commander.orders(worker) if self.ownership.entitled() else [])
+        reply = m.CommandReply(self.term, self.commander.orders(worker, self.ownership.entitled()))
         worker.hearing.told(report, self.term, reply.commands)
         return reply
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -43,6 +43,7 @@
 from quinceslip.coordination.foresight import foresee
 from quinceslip.coordination.node import Node
 from quinceslip.coordination.state import Chunk
+from quinceslip.models.gap import explore as gap
 from quinceslip.models.takeover import explore as takeover
 from quinceslip.models.takeover import read_steps
 from quinceslip.protocol import messages as m
@@ -991,6 +992,13 @@
                           read_steps(str(named.get("after", ""))))
         assert bool(result.breach) == ("without" in named), (named, result)
 
+    def do_gap(self, plain: list[str], named: dict[str, Any]) -> None:
+        """gap [without=GUARD] [lease=N] [cancel=N]: all histories of a cancellation that the owner cannot hear of"""
+        result = gap(**named)
+        assert bool(result.breach) == ("without" in named), (named, result)
+        # A model in which nothing happens finds nothing: without a breach the task is there until just before cancel_s.
+        assert result.breach or result.depth >= named.get("cancel", 12) - 2, result
+
     def do_supply(self, plain: list[str], named: dict[str, Any]) -> None:
         """supply N ... vain=TIMES found=S: requests in vain against those of one alone; most seconds to find room"""
         counts = [1, *map(int, plain)]
--- /dev/null
+++ b/tests/test_timing.py
@@ -0,0 +1,55 @@
+"""The periods between owners, for all settings that are accepted: the sum that carries a cancellation holds."""
+
+from fractions import Fraction
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quinceslip.coordination.context import DRIFT, SECOND, Timing
+from quinceslip.protocol.settings import Settings, SettingsError
+from tests.test_scenarios import Runner
+
+seconds = st.one_of(st.floats(0.01, 100.0), st.floats(0.01, 100_000.0), st.sampled_from([1.0, 4.0, 10.0, 15.25, 26.0]))
+
+
+def timing(report_s: float, lease_s: float, cancel_s: float) -> Timing | None:
+    """What is derived; None where the settings are refused, and then a field is named with its value."""
+    facts = {**Runner().facts, "workers": {"report_s": report_s, "lease_s": lease_s, "cancel_s": cancel_s}, "size": 1}
+    try:
+        return Timing(msgspec.convert({
+            "label": "berth-0", "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
+            "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"}, "facts": facts}, Settings))
+    except SettingsError as error:
+        assert any(f"facts.workers.{name} = {value:g}: " in str(error) for name, value in
+                   (("report_s", report_s), ("lease_s", lease_s), ("cancel_s", cancel_s))), str(error)
+        return None
+
+
+@given(seconds, seconds, seconds)
+@settings(max_examples=400, deadline=None, database=None, derandomize=True)
+def test_a_cancellation_outlasts_what_an_owner_that_cannot_hear_of_it_renews(
+        report_s: float, lease_s: float, cancel_s: float) -> None:
+    found = timing(report_s, lease_s, cancel_s)
+    lease, cancel = Fraction(lease_s), Fraction(cancel_s)
+    if found is None:
+        # Refused is only what leaves no second for a hold, or no lease between two reports, or is no such period.
+        assert cancel - lease < Fraction(31, 10) + cancel / 400 or report_s * 1.25 >= lease_s or \
+            max(report_s, lease_s, cancel_s) > 86_400
+        return
+    slow = 1 + Fraction(DRIFT)  # a second by a clock that is slow lasts so long
+    # The owner's clock: from its last proof of contact to the end of its grace. The worker's: its lease, from a report
+    # that was sent before it was answered. A session ends within a report's time limit of its lease, when it looks.
+    ends = Fraction(found.hold_us + found.grace_us, SECOND) * slow + lease * slow + 1
+    assert ends < cancel / slow
+    assert found.hold_us >= SECOND and found.grace_us >= 0 and found.hold_us <= 600 * SECOND
+    assert int(found.hold_us * 0.95) - 50_000 > 0  # entitled for some time, and for less than the hold lasts
+    assert found.lost_us > lease * slow * slow * SECOND  # a worker's lease by our clock: never over too early
+
+
+def test_settings_of_usual_sites_are_accepted_with_a_grace() -> None:
+    """Both deployments' orders of magnitude, the tests' own, and beyond."""
+    for report_s, lease_s, cancel_s in ((4, 26, 46), (2.5, 15.25, 40.25), (3, 26, 46), (1, 10, 35), (0.5, 5, 20),
+                                        (30, 300, 900), (60, 3600, 10_000)):
+        found = timing(report_s, lease_s, cancel_s)
+        assert found is not None and found.grace_us > found.hold_us // 2, (report_s, lease_s, cancel_s)
