A successor never forgets until when an owner before it may renew leases

Cause: two ways to take a worker's lease for over too early, both found by going through a takeover with a second trouble in it. A controller that found a record of its own took itself for the last owner, so it waited 4 s instead of hold and grace; but it may have had the shard for a moment only, ended, and come back, while the owner before still answered (cut from the state service and its peers, not from its workers). And an answer to a report set the time of the last renewal back to now, though that answer may be lost and the worker go back to the old owner. Change: inherited machines count as renewed until the end of the grace whoever had the shard, save those that have shown the term of our earlier life: they have dropped all other answers since. One that shows the new term is known exactly from then on. An answer never moves the time back. A process that has just started holds no proof of contact, whatever its clock shows.

--- a/quinceslip/coordination/custody.py
+++ b/quinceslip/coordination/custody.py
@@ -13,7 +13,7 @@
 
 import logging
 
-from quinceslip.coordination.context import SECOND, Context, micros
+from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context, micros
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.state import Attempt, Chunk, ShardState, Worker
 from quinceslip.protocol import messages as m
@@ -26,6 +26,7 @@
 
     def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int) -> None:
         super().__init__(ctx, ownership, index, term)
+        self.own_before = 0  # the term that this controller held before it ended, where nobody has had the shard since
         self.first_term = term  # a worker that shows it, or a later one, is past its earlier owners
         self.pausing: set[str] = set()  # jobs with tasks that pause after a failure
 
@@ -108,8 +109,16 @@
             self._notice(worker, report.notice_s)
         worker.reported = {t.task: t for t in report.tasks}
         self._match(worker)
+        if self.own_before and not worker.confirmed and report.token >= self.own_before:
+            # It had seen the term of our earlier life, so it has dropped all answers but that one's, which has ended.
+            ended_us = self.taken_us + REPORT_WAIT_US
+            if worker.answered_us == worker.inherited_us:
+                worker.answered_us = min(worker.answered_us, ended_us)
+            worker.inherited_us = min(worker.inherited_us, ended_us)
         if not worker.confirmed and (report.token >= self.first_term or "term" not in self.guards):
             worker.confirmed = True
+            # Answers of earlier owners have been dropped since it saw our term, so none renews its lease any more.
+            worker.answered_us = now_us
             worker.hearing.proven()  # nobody else told it our term
             self._settle_worker(worker)
         return True
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -125,12 +125,12 @@
                     if kind in subsystem.kinds:
                         subsystem.changed(kind, name)
 
-    def _gained(self, index: int, term: int, restarted: bool) -> None:
+    def _gained(self, index: int, term: int, own_before: int) -> None:
         known = self.shards.get(index)
         if known is not None:
             known.term_raised(term)
             return
-        shard = self.shards[index] = Shard(self.ctx, self.ownership, index, term, restarted)
+        shard = self.shards[index] = Shard(self.ctx, self.ownership, index, term, own_before)
         for subsystem in self.subsystems:
             subsystem.gained(shard)
 
--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -20,15 +20,15 @@
 
 class Ownership:
     def __init__(self, ctx: Context, home: int,
-                 gained: Callable[[int, int, bool], None], lost: Callable[[int], None]) -> None:
+                 gained: Callable[[int, int, int], None], lost: Callable[[int], None]) -> None:
         self.ctx = ctx
         self.home = home
         self.size = ctx.settings.facts.size
         self.gained = gained
         self.lost = lost
         self.hold: int | None = None
-        self.hold_sent_us = 0
-        self.watch_sent_us = 0
+        # No contact has been proven: whatever an earlier life of this controller knew, this one does not.
+        self.hold_sent_us = self.watch_sent_us = ctx.now_us - 2 * (ctx.timing.hold_us + ctx.timing.grace_us)
         self.asking = False
         self.next_hold_us = 0
         self.terms: dict[int, int] = {}
@@ -160,6 +160,7 @@
         key = records.shard_key(shard)
         conditions = {records.TERM: view.stamp(records.TERM), key: view.stamp(key)}
         previous = view.shard(shard)
+        own_before = previous.term if previous is not None and previous.owner == self.ctx.settings.label else 0
         record = records.ShardRecord(self.ctx.settings.label, term)
         hold = self.hold
         self.claiming = True
@@ -172,8 +173,7 @@
                 self.terms[shard], self.stamps[shard] = term, stamp
                 self.absent_since.pop(shard, None)
                 log.info("shard %d is ours under term %d%s", shard, term, " (raised)" if raised else "")
-                restarted = previous is not None and previous.owner == self.ctx.settings.label
-                self.gained(shard, term, restarted)
+                self.gained(shard, term, own_before)
             else:
                 self.next_claim_us = self.ctx.now_us + 150_000
 
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from quinceslip.coordination.commands import Commander
-from quinceslip.coordination.context import REPORT_WAIT_US, SECOND, Context
+from quinceslip.coordination.context import SECOND, Context
 from quinceslip.coordination.custody import Custody
 from quinceslip.coordination.effects import Urgency
 from quinceslip.coordination.foresight import foresee
@@ -39,8 +39,9 @@
 
 
 class Shard(Custody):
-    def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int, restarted: bool) -> None:
+    def __init__(self, ctx: Context, ownership: Ownership, index: int, term: int, own_before: int) -> None:
         super().__init__(ctx, ownership, index, term)
+        self.own_before = own_before
         self.recorder = Recorder(self)
         self.placement = Placement(self)
         self.commander = Commander(self, self.recorder, self.reported)
@@ -51,9 +52,9 @@
         self.to_arm: set[str] = set()
         self.typical: tuple[int, float, float] = (-SECOND, 1.0, 60.0)
         self.known = Figures(-SECOND, {})
-        # The last answer an earlier owner can have given its workers: at the end of its grace,
-        # or, where it was this node before a restart, just before it died.
-        grace_us = REPORT_WAIT_US if restarted else ctx.timing.grace_us + ctx.timing.hold_us
+        # The last answer that an earlier owner can have given its workers: at the end of its grace. Guard: a record of
+        # our own, from before a restart, says no less. Whoever had the shard before that may still be in its grace.
+        grace_us = ctx.timing.grace_us + ctx.timing.hold_us
         for name, record in ctx.view.by_kind["roster"].items():
             if record.shard == index:
                 worker = self._enroll(name, record)
@@ -102,7 +103,8 @@
         usable, used_cpus = self.placement.usable(worker), worker.used_cpus
         if not self.hear(worker, report):
             # A direct reply has overtaken it, and its sender may still wait for the answer.
-            worker.answered_us = worker.report_us = now_us
+            worker.report_us = now_us
+            worker.answered_us = max(worker.answered_us, now_us)
             return m.CommandReply(self.term, self.commander.orders(worker, entitled=False))
         if self.placement.usable(worker) != usable or (direct and (
                 worker.used_cpus < used_cpus or self.quota is not None or self._urgent())):
@@ -115,7 +117,8 @@
             self.commander.probe(worker)
         if not answered:
             return None
-        worker.answered_us = now_us
+        # Guard: an answer of ours that is lost takes nothing back of what an earlier owner may still renew.
+        worker.answered_us = max(worker.answered_us, now_us)
         if not worker.armed:
             self.to_arm.add(worker.name)
         self.placement.fill(worker)
