A read that hangs holds up no poll past the time that users wait

Cause: polls that came while a read was hanging waited for its time limit, for their own read and for the watch: over 2 s. Change: one limit from the question on, 1.75 s, for reads, for the wait for a read, and for the view to catch up; then 503.

--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -19,8 +19,10 @@
 MAX_WAITING_POLLS = 500
 #: part of this controller's requests to the state service that reads for polls may take
 READ_PART = 0.25
-#: a poll waits no longer than this for others that share its read; users wait 2 s for an answer
+#: a poll waits no longer than this for others that share its read
 READ_WAIT_US = SECOND // 4
+#: users wait 2 s for an answer to a poll (PROTOCOL); what cannot be known by then is 503
+ANSWER_US = 7 * SECOND // 4
 
 
 @dataclass(slots=True)
@@ -57,6 +59,8 @@
         for request, uid, tries, _ in due:
             self._cancel(request, uid, tries)
         self.caught_up()
+        # Guard: a read that hangs holds up nobody past the time that users wait, however many ask meanwhile.
+        self.polls = self._in_time(self.polls)
         self._barrier()
 
     def take(self, request: UserRequest) -> None:
@@ -147,6 +151,7 @@
         self.reads += 1
         waiting, self.polls = self.polls, []
         self.barrier_busy = True
+        left_us = waiting[0].since_us + ANSWER_US - self.ctx.now_us
 
         def done(status: int, body: bytes) -> None:
             self.barrier_busy = False
@@ -166,7 +171,8 @@
             # Bound: each is called by an answer of the state service, so none is within another.
             self._barrier()
 
-        self.ctx.call("state", "GET", f"{m.PATH_KV}/{records.NOTHING}", None, done, timeout_us=SECOND)
+        self.ctx.call("state", "GET", f"{m.PATH_KV}/{records.NOTHING}", None, done,
+                      timeout_us=min(SECOND, max(READ_WAIT_US, left_us)))
 
     def caught_up(self) -> None:
         behind, self.behind = self.behind, []
@@ -174,11 +180,18 @@
             if self.ctx.view.loaded and self.ctx.view.ledger >= ledger:
                 for entry in waiting:
                     self._after_barrier(entry)
-            elif waiting and self.ctx.now_us - waiting[0].since_us < 3 * SECOND // 2:
-                self.behind.append((ledger, waiting))
+            elif left := self._in_time(waiting):
+                self.behind.append((ledger, left))
+
+    def _in_time(self, waiting: list[Waiting]) -> list[Waiting]:
+        """Those whose users still wait; the others are told that it cannot be decided yet."""
+        left = []
+        for entry in waiting:
+            if self.ctx.now_us < entry.since_us + ANSWER_US:
+                left.append(entry)
             else:
-                for entry in waiting:
-                    self._unavailable(entry.request)
+                self._unavailable(entry.request)
+        return left
 
     def _after_barrier(self, entry: Waiting) -> None:
         job = self.ctx.view.job(entry.uid)
