Rename: limbo is in doubt

The field's term for what a two-party write without an answer leaves: code, model guard, docs. Behaviour the same; no stored key or field has the word.

--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -73,7 +73,7 @@
             if s != state.index and tasksets.decode(c.own) - tasksets.decode(c.done)]
         # Where others hold a part of it, only disjoint zones keep both from meeting.
         apart = not spec.one_zone and chunk.zones and all(c.zones and not chunk.zones & set(c.zones) for c in others)
-        if chunk.unknown or chunk.limbo or (others and not apart):
+        if chunk.unknown or chunk.in_doubt or (others and not apart):
             return set()  # some may be anywhere: wait until it is known
         counts: dict[str, int] = {}
         for worker, _ in state.may_be_there(chunk.uid):
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -66,10 +66,10 @@
         if chunk.trial.parked and not chunk.pending and not chunk.attempts:
             state.add_pending(chunk, sorted(chunk.trial.parked))  # what was tried is here no more: the next one
         stamp = view.stamp(self._key(uid))
-        if chunk.limbo and stamp > chunk.limbo_stamp:
+        if chunk.in_doubt and stamp > chunk.in_doubt_stamp:
             # The record changed since, so the move was either applied or never can be.
-            limbo, chunk.limbo = chunk.limbo, set()
-            state.add_pending(chunk, (limbo & own) - done)
+            in_doubt, chunk.in_doubt = chunk.in_doubt, set()
+            state.add_pending(chunk, (in_doubt & own) - done)
         # More that is done sets nothing free by itself: the machine's report did.
         if fresh or removed or chunk.spec.whole or state.quota is not None:
             state.dirty = True
@@ -136,12 +136,12 @@
                 continue
             if chunk.new_done and (whole or now_us >= chunk.next_result_us):
                 self._flush(chunk, pause_us, whole)
-            elif chunk.limbo and not chunk.moving:
+            elif chunk.in_doubt and not chunk.moving:
                 self._flush(chunk, pause_us, False)  # settles an open move: the same chunk under a new stamp
             elif whole and not chunk.new_done:
                 chunk.next_flush_us = now_us + SECOND
                 self._finalise(chunk.uid)
-            elif not chunk.new_done and not chunk.limbo:
+            elif not chunk.new_done and not chunk.in_doubt:
                 self.open.discard(chunk.uid)
 
     def _flush(self, chunk: Chunk, pause_us: int, whole: bool) -> None:
@@ -203,7 +203,7 @@
         """
         spec = chunk.spec
         if not (spec.service and spec.spread) or spec.one_zone or spec.zone or chunk.flushing or chunk.moving \
-                or chunk.limbo or chunk.unknown or not chunk.pending:
+                or chunk.in_doubt or chunk.unknown or not chunk.pending:
             return None
         used = set()
         for attempt in self.state.there.get(chunk.uid, ()):
@@ -217,7 +217,7 @@
     def movable(self, chunk: Chunk) -> list[int]:
         """Tasks certain not to be running; all or nothing where zones bind the tasks together."""
         # What is suspected of a mistake stays where that is known.
-        if chunk.flushing or chunk.moving or chunk.limbo or chunk.unknown or chunk.trial.suspected:
+        if chunk.flushing or chunk.moving or chunk.in_doubt or chunk.unknown or chunk.trial.suspected:
             return []
         if chunk.spec.whole:
             whole = len(chunk.pending) == len(chunk.own) - len(chunk.done) and not chunk.new_done
@@ -250,7 +250,7 @@
         conditions = {**state.ownership.condition(state.index), **{k: view.stamp(k) for k in puts}}
         for index in moved:
             chunk.pending.discard(index)
-        chunk.limbo, chunk.limbo_stamp, chunk.moving = moved, view.stamp(key), True
+        chunk.in_doubt, chunk.in_doubt_stamp, chunk.moving = moved, view.stamp(key), True
         self.open.add(uid)
 
         def done(status: int, failed: list[str]) -> None:
@@ -258,8 +258,8 @@
             if status == 200:
                 log.info("%d tasks of %s moved to shard %d", len(moved), uid, target)
             elif status in (NOT_SENT, 409, 429, 503, 400):
-                limbo, chunk.limbo = chunk.limbo, set()
-                state.add_pending(chunk, limbo)
-            # Otherwise the outcome is open: the tasks stay in limbo until the record changes.
+                in_doubt, chunk.in_doubt = chunk.in_doubt, set()
+                state.add_pending(chunk, in_doubt)
+            # Otherwise the outcome is open: the tasks stay in doubt until the record changes.
 
         self.ctx.txn(conditions, puts, [], done, Urgency.USER if chunk.spec.service else Urgency.REST)
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -177,8 +177,8 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     not_before: dict[int, int] = field(default_factory=dict)
     failures: dict[int, int] = field(default_factory=dict)
-    limbo: set[int] = field(default_factory=set)  # part of a move whose outcome is open
-    limbo_stamp: int = 0
+    in_doubt: set[int] = field(default_factory=set)  # part of a move whose outcome is open
+    in_doubt_stamp: int = 0
     trial: Trial = field(default_factory=Trial)  # whether its failures are its own
     flushing: bool = False
     moving: bool = False
@@ -359,7 +359,7 @@
         """
         for index in indices:
             if index not in chunk.attempts and index not in chunk.done and index not in chunk.new_done \
-                    and index not in chunk.limbo and index in chunk.own \
+                    and index not in chunk.in_doubt and index in chunk.own \
                     and (index not in chunk.unknown or "unknown" not in self.guards):
                 if chunk.trial.suspected and not chunk.spec.gang and (chunk.attempts or chunk.pending):
                     # Guard: of a job that is suspected of a mistake one task is tried at a time; gangs run whole or
--- a/quinceslip/quota/grants.py
+++ b/quinceslip/quota/grants.py
@@ -10,7 +10,7 @@
   pool         what a shard takes for itself is in the pool
   stamp        a write holds only for the record it was made from
   owner        a write holds only while its sender owns the shard (a late one of an earlier owner fails)
-  limbo        after a write whose outcome is open, what it gives stays out of use until the record changed
+  in_doubt     after a write whose outcome is open, what it gives stays out of use until the record changed
   resolved     a successor starts nothing until each worker of the roster showed its term or is gone
   caught_up    nor before its view has what the shard's earlier owner wrote
 
@@ -24,7 +24,7 @@
 
 from quinceslip.quota.tree import UNLIMITED, ZERO, Amounts, add, least, positive
 
-GUARDS = ("reserve", "spare", "pool", "stamp", "owner", "limbo", "resolved", "caught_up")
+GUARDS = ("reserve", "spare", "pool", "stamp", "owner", "in_doubt", "resolved", "caught_up")
 ALL_GUARDS = frozenset(GUARDS)
 
 
@@ -189,7 +189,7 @@
         if self.move is not move:
             return
         unsettled = outcome == "open" or (outcome == "failed" and move.settles)
-        if unsettled and "limbo" in self.guards and move.conditions.get(self.key, self.stamp) == self.stamp:
+        if unsettled and "in_doubt" in self.guards and move.conditions.get(self.key, self.stamp) == self.stamp:
             move.open = True  # until the record changes: then it was applied, or never can be
         else:
             self.move = None
--- a/tests/world.py
+++ b/tests/world.py
@@ -538,10 +538,10 @@
         for shard in self.node.shards.values() if self.node is not None else ():
             for chunk in shard.chunks.values():
                 left = chunk.own - chunk.done - chunk.new_done - chunk.pending.members - chunk.attempts.keys() \
-                    - chunk.unknown - chunk.limbo - chunk.trial.parked
+                    - chunk.unknown - chunk.in_doubt - chunk.trial.parked
                 if left:
                     self.world.checker.breach("stuck", f"{self.label} has lost {sorted(left)[:3]} of {chunk.uid}")
-                if chunk.trial.parked and not chunk.pending and not (chunk.attempts or chunk.limbo or chunk.unknown):
+                if chunk.trial.parked and not chunk.pending and not (chunk.attempts or chunk.in_doubt or chunk.unknown):
                     self.world.checker.breach("stuck", f"{self.label} tries nothing of {chunk.uid}")
 
     # The watch.
