Rename: an owner's hold is its lease

PROTOCOL's word on the wire stays in protocol/. Ownership.lease, Timing.owner_lease_us beside worker_lease_us, the log's 'lease N created' and 'has ended', docs. Behaviour the same; stored keys and fields have no such word.

--- a/quinceslip/bench/fleet.py
+++ b/quinceslip/bench/fleet.py
@@ -127,7 +127,7 @@
             if heard is not None:
                 heard(effect.status, effect.body)
         elif isinstance(effect, fx.Call):
-            if effect.target in ("state", "hold"):
+            if effect.target in ("state", "lease"):
                 self.after(STATE_US, lambda: self._state(effect))
             elif effect.target == "cloud":
                 self.after(STATE_US, lambda: self._cloud(effect))
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -17,8 +17,8 @@
 SECOND = 1_000_000
 #: the steady clocks of two machines drift apart by at most this (PROTOCOL)
 DRIFT = 0.0005
-#: the state service takes holds of up to ten minutes (PROTOCOL); a shorter one than a second is lost by any hiccup
-LEAST_HOLD_US, MOST_HOLD_US = SECOND, 600 * SECOND
+#: the state service takes leases of up to ten minutes (PROTOCOL); a shorter one than a second is lost by any hiccup
+LEAST_LEASE_US, MOST_LEASE_US = SECOND, 600 * SECOND
 #: longer periods than a day are no such settings, and would not fit what is derived from them
 LONGEST_S = 86_400
 #: workers drop the answer to a report after this long (PROTOCOL)
@@ -35,7 +35,7 @@
 class Timing:
     """Every period of the protocol between owners, derived from the settings alone.
 
-    Raises SettingsError for settings under which no hold fits between a worker's lease and `cancel_s`.
+    Raises SettingsError for settings under which no owner's lease fits between a worker's and `cancel_s`.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -48,23 +48,23 @@
             raise SettingsError(f"facts.workers.report_s = {workers.report_s:g}: a worker's lease (lease_s = "
                                 f"{workers.lease_s:g}) runs out between two reports")
         self.report_us = micros(workers.report_s)
-        self.lease_us = micros(workers.lease_s)
+        self.worker_lease_us = micros(workers.lease_s)
         cancel_us = micros(workers.cancel_s)
         margin_us = SECOND + int(2 * DRIFT * cancel_us)
         # What a cancellation leaves to an owner that cannot hear of it (docs/design.md, "The gap").
-        left_us = cancel_us - self.lease_us - 2 * margin_us
-        if left_us < LEAST_HOLD_US:
+        left_us = cancel_us - self.worker_lease_us - 2 * margin_us
+        if left_us < LEAST_LEASE_US:
             raise SettingsError(
                 f"facts.workers.cancel_s = {workers.cancel_s:g}: lease_s = {workers.lease_s:g} and margins of "
-                f"{2 * margin_us / SECOND:g} s leave no hold of {LEAST_HOLD_US // SECOND} s; nobody could keep to it")
-        # A third of the lease: a successor is up well before the workers of a dead owner give up.
-        self.hold_us = min(max(self.lease_us // 3, 2 * SECOND), max(cancel_us // 6, LEAST_HOLD_US), left_us,
-                           MOST_HOLD_US)
-        # An owner that lost the state service answers its workers for this long past its hold:
-        # hold + grace + lease must end before a cancellation it cannot hear of falls due.
-        self.grace_us = left_us - self.hold_us
+                f"{2 * margin_us / SECOND:g} s leave no owner's lease of {LEAST_LEASE_US // SECOND} s")
+        # A third of the workers': a successor is up well before the workers of a dead owner give up.
+        self.owner_lease_us = min(max(self.worker_lease_us // 3, 2 * SECOND), max(cancel_us // 6, LEAST_LEASE_US),
+                                  left_us, MOST_LEASE_US)
+        # An owner that lost the state service answers its workers for this long past its own lease:
+        # owner's lease + grace + worker's lease must end before a cancellation it cannot hear of falls due.
+        self.grace_us = left_us - self.owner_lease_us
         self.margin_us = margin_us
-        self.lost_us = int(self.lease_us * (1 + 2 * DRIFT)) + margin_us
+        self.lost_us = int(self.worker_lease_us * (1 + 2 * DRIFT)) + margin_us
         # Reports come every report_s, a quarter more at most; later than this, a worker is asked.
         self.probe_us = int(1.4 * self.report_us) + SECOND // 4
         self.fresh_us = max(int(2.6 * self.report_us), 2 * SECOND)
@@ -105,7 +105,7 @@
     def rests(self, part: str) -> bool:
         """Whether this controller stood still in that part so lately that it is left out (`standstill.notes`)."""
         note = self.view.by_kind["standstill"].get(self.settings.label)
-        return notes.rests(note, part, self.wall_us, self.timing.lease_us)
+        return notes.rests(note, part, self.wall_us, self.timing.worker_lease_us)
 
     def steps(self) -> int:
         """Grows while a long message is taken: a listing of all records is no standstill."""
--- a/quinceslip/coordination/effects.py
+++ b/quinceslip/coordination/effects.py
@@ -23,7 +23,7 @@
 class Call:
     """A request to the state service, the cloud or a worker; answered by `Answer(id)`."""
 
-    target: str  # "state", "hold", "cloud" or a worker's address
+    target: str  # "state", "lease", "cloud" or a worker's address
     id: int
     method: str
     path: str
--- a/quinceslip/coordination/inventory.py
+++ b/quinceslip/coordination/inventory.py
@@ -166,7 +166,7 @@
         for known in [n for n, until_us in self.vouch_us.items() if until_us < now_us]:
             del self.vouch_us[known]
         # Copies of one that is gone come by the hundred: it is not asked again for a while.
-        self.vouch_us[name] = now_us + self.ctx.timing.lease_us // 2
+        self.vouch_us[name] = now_us + self.ctx.timing.worker_lease_us // 2
         record = records.RosterRecord(index, report.type, report.zone, report.spot, report.endpoint, used=True)
 
         def asked(status: int, body: bytes) -> None:
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -217,7 +217,7 @@
             steady_us = self.ctx.now_us - max(peer.since_us, shard.taken_us)
             calm = not shard.unresolved and all(w.confirmed or w.lost or not w.heard_us or w.hearing.refused
                                                 for w in shard.workers.values())
-            if peer.beat.state_ok and not peer.beat.aside and steady_us > 2 * self.ctx.timing.lease_us and calm:
+            if peer.beat.state_ok and not peer.beat.aside and steady_us > 2 * self.ctx.timing.worker_lease_us and calm:
                 self.ownership.give_back(shard.index)
                 return
 
--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -1,6 +1,6 @@
-"""Who owns which shard: one hold per node, terms from one global counter.
+"""Who owns which shard: one lease per node, terms from one global counter.
 
-A shard's record is attached to its owner's hold, so it vanishes when the owner can no longer
+A shard's record is attached to its owner's lease, so it vanishes when the owner can no longer
 renew. Every write an owner makes is conditional on the stamp of its shard record: what an earlier
 owner sent and the state service applies late therefore fails.
 """
@@ -26,11 +26,11 @@
         self.size = ctx.settings.facts.size
         self.gained = gained
         self.lost = lost
-        self.hold: int | None = None
+        self.lease: int | None = None
         # No contact has been proven: whatever an earlier life of this controller knew, this one does not.
-        self.hold_sent_us = self.watch_sent_us = ctx.now_us - 2 * (ctx.timing.hold_us + ctx.timing.grace_us)
+        self.lease_sent_us = self.watch_sent_us = ctx.now_us - 2 * (ctx.timing.owner_lease_us + ctx.timing.grace_us)
         self.asking = False
-        self.next_hold_us = 0
+        self.next_lease_us = 0
         self.terms: dict[int, int] = {}
         self.stamps: dict[int, int] = {}
         self.claiming = False
@@ -41,19 +41,19 @@
     # What the node may do now.
 
     def _confirmed_us(self) -> int:
-        # Both must be recent: the hold says nobody took over, the watch that we would have heard
+        # Both must be recent: the lease says nobody took over, the watch that we would have heard
         # of a cancellation. A watch that hangs while renewals succeed must not pass for contact.
-        return min(self.hold_sent_us, self.watch_sent_us)
+        return min(self.lease_sent_us, self.watch_sent_us)
 
     def entitled(self) -> bool:
-        """May launch and decide: the hold cannot have lapsed yet."""
-        lasts = int(self.ctx.timing.hold_us * 0.95) - 50_000
-        return self.hold is not None and self.ctx.now_us < self._confirmed_us() + lasts
+        """May launch and decide: the lease cannot have lapsed yet."""
+        lasts = int(self.ctx.timing.owner_lease_us * 0.95) - 50_000
+        return self.lease is not None and self.ctx.now_us < self._confirmed_us() + lasts
 
     def answering(self) -> bool:
         """May still answer the workers of its shards (grace)."""
         timing = self.ctx.timing
-        return self.ctx.now_us < self._confirmed_us() + timing.hold_us + timing.grace_us
+        return self.ctx.now_us < self._confirmed_us() + timing.owner_lease_us + timing.grace_us
 
     def owns(self, shard: int) -> bool:
         return shard in self.terms
@@ -61,20 +61,20 @@
     def condition(self, shard: int) -> dict[str, int]:
         return {records.shard_key(shard): self.stamps[shard]}
 
-    # The hold.
+    # The lease: PROTOCOL's hold.
 
     def tick(self) -> None:
         ctx = self.ctx
-        if not self.asking and ctx.now_us >= self.next_hold_us:
-            if self.hold is None:
+        if not self.asking and ctx.now_us >= self.next_lease_us:
+            if self.lease is None:
                 self._create()
-            elif ctx.now_us >= self.hold_sent_us + ctx.timing.hold_us // 4:
+            elif ctx.now_us >= self.lease_sent_us + ctx.timing.owner_lease_us // 4:
                 self._renew()
         if not self.claiming:
             # A claim whose answer never came may have been applied: its stamp is not ours.
             for shard in [s for s in self.stamps if ctx.view.stamp(records.shard_key(s)) != self.stamps[s]]:
                 self._drop(shard)
-        if self.hold is not None and ctx.view.loaded and not self.claiming \
+        if self.lease is not None and ctx.view.loaded and not self.claiming \
                 and ctx.now_us >= self.next_claim_us and self.entitled():
             self._claim_one()
 
@@ -86,37 +86,37 @@
             self.asking = False
             self.ctx.note_state(status)
             if status == 200:
-                self.hold = msgspec.json.decode(body, type=messages.HoldAnswer).hold
-                self.hold_sent_us = sent_us
-                log.info("hold %d created", self.hold)
+                self.lease = msgspec.json.decode(body, type=messages.HoldAnswer).hold
+                self.lease_sent_us = sent_us
+                log.info("lease %d created", self.lease)
             else:
-                self.next_hold_us = self.ctx.now_us + SECOND // 2
+                self.next_lease_us = self.ctx.now_us + SECOND // 2
 
-        self.ctx.call("hold", "POST", messages.PATH_HOLDS,
-                      messages.hold_request(self.ctx.timing.hold_us), done)
+        self.ctx.call("lease", "POST", messages.PATH_HOLDS,
+                      messages.hold_request(self.ctx.timing.owner_lease_us), done)
 
     def _renew(self) -> None:
         sent_us = self.ctx.now_us
-        hold = self.hold
-        assert hold is not None
+        lease = self.lease
+        assert lease is not None
         self.asking = True
 
         def done(status: int, body: bytes) -> None:
             self.asking = False
             self.ctx.note_state(status)
-            if hold != self.hold:
+            if lease != self.lease:
                 return
             if status == 200:
-                self.hold_sent_us = sent_us
+                self.lease_sent_us = sent_us
             elif status == 404:
-                log.info("hold %d has ended; shards %s are no longer ours", hold, sorted(self.terms))
-                self.hold = None
+                log.info("lease %d has ended; shards %s are no longer ours", lease, sorted(self.terms))
+                self.lease = None
                 for shard in list(self.terms):
                     self._drop(shard)
             else:
-                self.next_hold_us = self.ctx.now_us + 200_000
+                self.next_lease_us = self.ctx.now_us + 200_000
 
-        self.ctx.call("hold", "POST", messages.renew_path(hold), None, done)
+        self.ctx.call("lease", "POST", messages.renew_path(lease), None, done)
 
     def _drop(self, shard: int) -> None:
         self.terms.pop(shard, None)
@@ -142,17 +142,17 @@
             delay = 0
             if record is None and offset:
                 delay = offset * SECOND // 2
-                if since - self.ctx.started_us < self.ctx.timing.hold_us:
-                    delay += self.ctx.timing.hold_us
+                if since - self.ctx.started_us < self.ctx.timing.owner_lease_us:
+                    delay += self.ctx.timing.owner_lease_us
             if self.aside:
-                delay += 2 * self.ctx.timing.hold_us
+                delay += 2 * self.ctx.timing.owner_lease_us
             if now_us >= since + delay:
                 self.claim(shard)
                 return
 
     def claim(self, shard: int, above: int = 0) -> None:
         """Take a shard, or raise the term of one we own already, to more than `above`."""
-        if self.claiming or self.hold is None:
+        if self.claiming or self.lease is None:
             return
         view = self.ctx.view
         counter = view.by_kind["term"].get("")
@@ -162,12 +162,12 @@
         previous = view.shard(shard)
         own_before = previous.term if previous is not None and previous.owner == self.ctx.settings.label else 0
         record = records.ShardRecord(self.ctx.settings.label, term)
-        hold = self.hold
+        lease = self.lease
         self.claiming = True
 
         def done(status: int, failed: list[str]) -> None:
             self.claiming = False
-            if status == 200 and self.hold == hold:
+            if status == 200 and self.lease == lease:
                 stamp = view.stamp(key)
                 raised = shard in self.terms
                 self.terms[shard], self.stamps[shard] = term, stamp
@@ -177,7 +177,7 @@
             else:
                 self.next_claim_us = self.ctx.now_us + 150_000
 
-        self.ctx.txn(conditions, {records.TERM: (records.TermRecord(term), None), key: (record, hold)},
+        self.ctx.txn(conditions, {records.TERM: (records.TermRecord(term), None), key: (record, lease)},
                      [], done, Urgency.USER)
 
     def record_changed(self, shard: int) -> None:
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -34,7 +34,7 @@
         self.state = state
         self.ctx = state.ctx
         timing = state.ctx.timing
-        self.mute_us, self.fresh_us = timing.lease_us // 2, timing.fresh_us
+        self.mute_us, self.fresh_us = timing.worker_lease_us // 2, timing.fresh_us
         self.wait_s = {o.job_class: o.within_s for o in state.ctx.settings.facts.objectives if o.kind == "wait"}
         self.everywhere = set(state.ctx.settings.facts.zones)
         self.orders: dict[tuple[object, ...], deque[Worker]] = {}  # machines for a shape of tasks, in this pass
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -54,7 +54,7 @@
         self.known = Figures(-SECOND, {})
         # The last answer that an earlier owner can have given its workers: at the end of its grace. Guard: a record of
         # our own, from before a restart, says no less. Whoever had the shard before that may still be in its grace.
-        grace_us = ctx.timing.grace_us + ctx.timing.hold_us
+        grace_us = ctx.timing.grace_us + ctx.timing.owner_lease_us
         for name, record in ctx.view.by_kind["roster"].items():
             if record.shard == index:
                 worker = self._enroll(name, record)
--- a/quinceslip/models/gap.py
+++ b/quinceslip/models/gap.py
@@ -5,7 +5,7 @@
 launch is on its way and arrives when it likes within the session), and a peer that confirms a cancellation at any
 moment. All of it in steps of one unit of time, in every order. Whoever plays against the service decides whether a
 renewal or a watch is answered: one that is not may have been refused to the owner alone, lost, or be part of an outage,
-after which each hold has its full time again, so the owner never loses its shard here. An open watch may end with no
+after which each lease has its full time again, so the owner never loses its shard here. An open watch may end with no
 more than what was when it was sent. Reports and answers are lost at will, and the owner ends and is back at once
 without knowing its earlier contact.
 
@@ -40,7 +40,7 @@
 class State:
     """Ages are in whole units; none grows beyond what matters (`Gap.oldest`)."""
 
-    hold: int = 0  # since the last answered renewal was sent
+    owner: int = 0  # since the last answered renewal was sent
     watch: int = 0  # since the last answered watch was sent
     asked: int = 0  # since the watch that is open was sent
     shows: bool = False  # that one was sent after the user was told
@@ -72,7 +72,7 @@
         self.timing = Timing(self.settings)
         if "grace" not in guards:
             self.timing.grace_us += 2 * (self.timing.margin_us + unit_us)
-        self.oldest = (self.timing.hold_us + self.timing.grace_us) // unit_us + 2
+        self.oldest = (self.timing.owner_lease_us + self.timing.grace_us) // unit_us + 2
         self.said: dict[tuple[bool, bool, bool], bool] = {}
 
     def rights(self, state: State) -> Ownership:
@@ -82,9 +82,9 @@
         ctx: Any = SimpleNamespace(settings=self.settings, timing=self.timing, now_us=now_us, started_us=0, types={},
                                    view=SimpleNamespace(job=lambda uid: job))
         found = Ownership(ctx, 0, lambda *_: None, lambda _: None)
-        found.hold, found.claiming = 1, True
-        found.hold_sent_us = now_us - state.hold * self.unit_us
-        found.watch_sent_us = now_us - (state.watch if "watch" in self.guards else state.hold) * self.unit_us
+        found.lease, found.claiming = 1, True
+        found.lease_sent_us = now_us - state.owner * self.unit_us
+        found.watch_sent_us = now_us - (state.watch if "watch" in self.guards else state.owner) * self.unit_us
         return found
 
     def ends(self, rights: Ownership, state: State) -> bool:
@@ -109,7 +109,7 @@
 
     def passes(self, state: State) -> State:
         """One unit of time."""
-        later = replace(state, hold=min(state.hold + 1, self.oldest), watch=min(state.watch + 1, self.oldest),
+        later = replace(state, owner=min(state.owner + 1, self.oldest), watch=min(state.watch + 1, self.oldest),
                         asked=min(state.asked + 1, self.oldest), lease=state.lease + 1,
                         told=state.told + 1 if state.told >= 0 else -1)
         if later.lease > self.lease:
@@ -121,13 +121,13 @@
         told = state.told >= 0
         if not told:
             yield "cancelled by a peer", replace(state, told=0)
-        yield "renewal answered", replace(state, hold=0)
+        yield "renewal answered", replace(state, owner=0)
         # It shows all that was told before its answer, and proves contact from its sending; the next is sent at once.
         sent = state.asked if "sent" in self.guards else 0
         yield "watch answered", replace(state, watch=min(state.watch, sent), asked=0, shows=told, knows=told)
         yield "open watch ends", replace(state, watch=min(state.watch, sent), asked=0, shows=told,
                                          knows=state.knows or state.shows)
-        yield "back at once", replace(state, hold=self.oldest, watch=self.oldest, knows=False, owns=False, asked=0,
+        yield "back at once", replace(state, owner=self.oldest, watch=self.oldest, knows=False, owns=False, asked=0,
                                       shows=told)
         rights = self.rights(state)
         if not state.owns and rights.entitled():
--- a/quinceslip/quota/model.py
+++ b/quinceslip/quota/model.py
@@ -2,7 +2,7 @@
 
 One purse, some shards, some controllers. What is real: the purse's code (`grants.Purse`, `may_start`), its
 conditions and its guards. What is modelled: a state service that compares stamps, transactions that arrive
-late or never and answers that are lost, views that lag, holds that end, takeovers, controllers that crash
+late or never and answers that are lost, views that lag, leases that end, takeovers, controllers that crash
 and start again, and workers that obey no term lower than one they have seen. The property: the tasks that
 are on machines never exceed the purse's total.
 """
@@ -65,7 +65,7 @@
         self.ledger = shards
         self.record: GrantRecord | None = None
         self.stamp = 0
-        self.owner_stamps = [s + 1 for s in range(shards)]  # 0: the hold has ended
+        self.owner_stamps = [s + 1 for s in range(shards)]  # 0: the lease has ended
         self.there = [0] * shards
         self.shown = [s + 1 for s in range(shards)]  # the newest term that a shard's workers have seen
         self.flights: list[Flight] = []
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -39,7 +39,7 @@
         post = self.actor.post_sure
         budget = Budget(facts.state.rps, facts.state.write_rps, facts.size)
         self.state = Pool("state", STATE_THREADS, post, budget)
-        self.holds = Pool("hold", 2, post)  # renewals never wait behind anything else
+        self.leases = Pool("lease", 2, post)  # renewals never wait behind anything else
         self.cloud = Pool("cloud", 4, post, Budget(facts.cloud.rps, facts.cloud.rps, facts.size))
         # A silent worker keeps a thread until the time limit. Probes are mostly of such workers, so
         # they have threads of their own, and commands to healthy ones never wait behind them.
@@ -59,11 +59,11 @@
         if tuning.end_at_standstill:
             from quinceslip.transport.watchdog import Watchdog
 
-            # The hold: until then nothing is lost, from then on a peer has the shards anyway. A third of a lease.
+            # The owner's lease, a third of a worker's: until then nothing is lost, then a peer has the shards anyway.
             Watchdog(settings.label, self.actor.thread, lambda: self.actor.turns + node.ctx.steps(),
-                     lambda: node.ctx.part or self.actor.doing, timing.hold_us, timing.lease_us,
+                     lambda: node.ctx.part or self.actor.doing, timing.owner_lease_us, timing.worker_lease_us,
                      split_address(settings.outside.state))
-        self.watch = Watch(settings.outside.state, post, min(timing.hold_us // 4, SECOND),
+        self.watch = Watch(settings.outside.state, post, min(timing.owner_lease_us // 4, SECOND),
                            pause_us=int(SECOND * facts.size * 4 / facts.state.rps))
 
     def _carry_out(self, effect: Effect) -> None:
@@ -73,8 +73,8 @@
             outside = self.settings.outside
             if effect.target == "state":
                 self.state.submit(effect, outside.state)
-            elif effect.target == "hold":
-                self.holds.submit(effect, outside.state)
+            elif effect.target == "lease":
+                self.leases.submit(effect, outside.state)
             elif effect.target == "cloud":
                 self.cloud.submit(effect, outside.cloud)
             elif effect.method == "GET":
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -2,7 +2,7 @@
 
 Keys (all below PREFIX, so that one watch carries every change):
   term                 the counter that every term comes from
-  shard/<n>            who owns shard n, under which term; attached to the owner's hold
+  shard/<n>            who owns shard n, under which term; attached to the owner's lease
   job/<uid>            a job: its spec, the chunk of its home shard, or its final state
   part/<shard>/<uid>   a chunk that moved to another shard
   roster/<worker>      the shard a worker belongs to, written before the first launch on it
--- a/quinceslip/transport/watchdog.py
+++ b/quinceslip/transport/watchdog.py
@@ -1,6 +1,6 @@
 """The thread that looks at the actor, and ends the process when it stands still.
 
-A controller whose actor does not turn holds its connections, renews no hold and answers nobody: worse than one that
+A controller whose actor does not turn holds its connections, renews no lease and answers nobody: worse than one that
 ended, since nothing starts it again. So it says where it stands, notes it in the state service, and ends.
 """
 
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -33,17 +33,17 @@
     found = timing(report_s, lease_s, cancel_s)
     lease, cancel = Fraction(lease_s), Fraction(cancel_s)
     if found is None:
-        # Refused is only what leaves no second for a hold, or no lease between two reports, or is no such period.
+        # Refused is only what leaves an owner's lease no second, no lease between two reports, or is no such period.
         assert cancel - lease < Fraction(31, 10) + cancel / 400 or report_s * 1.25 >= lease_s or \
             max(report_s, lease_s, cancel_s) > 86_400
         return
     slow = 1 + Fraction(DRIFT)  # a second by a clock that is slow lasts so long
     # The owner's clock: from its last proof of contact to the end of its grace. The worker's: its lease, from a report
     # that was sent before it was answered. A session ends within a report's time limit of its lease, when it looks.
-    ends = Fraction(found.hold_us + found.grace_us, SECOND) * slow + lease * slow + 1
+    ends = Fraction(found.owner_lease_us + found.grace_us, SECOND) * slow + lease * slow + 1
     assert ends < cancel / slow
-    assert found.hold_us >= SECOND and found.grace_us >= 0 and found.hold_us <= 600 * SECOND
-    assert int(found.hold_us * 0.95) - 50_000 > 0  # entitled for some time, and for less than the hold lasts
+    assert found.owner_lease_us >= SECOND and found.grace_us >= 0 and found.owner_lease_us <= 600 * SECOND
+    assert int(found.owner_lease_us * 0.95) - 50_000 > 0  # entitled for some time, and for less than the lease lasts
     assert found.lost_us > lease * slow * slow * SECOND  # a worker's lease by our clock: never over too early
 
 
@@ -52,4 +52,4 @@
     for report_s, lease_s, cancel_s in ((4, 26, 46), (2.5, 15.25, 40.25), (3, 26, 46), (1, 10, 35), (0.5, 5, 20),
                                         (30, 300, 900), (60, 3600, 10_000)):
         found = timing(report_s, lease_s, cancel_s)
-        assert found is not None and found.grace_us > found.hold_us // 2, (report_s, lease_s, cancel_s)
+        assert found is not None and found.grace_us > found.owner_lease_us // 2, (report_s, lease_s, cancel_s)
--- a/tests/world.py
+++ b/tests/world.py
@@ -618,7 +618,7 @@
             data = json.dumps(answer).encode()
             world.after(world.latency(), lambda: self.give(fx.Answer(effect.id, status, data), life))
 
-        if effect.target in ("state", "hold"):
+        if effect.target in ("state", "lease"):
             cut_until_us, how = self.state_cut
             if world.now_us < cut_until_us:
                 # Held: it arrives when the cut ends, and its sender has given up. Reset: it never does.
