--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -1,12 +1,15 @@
 """The periods between owners, for all settings that are accepted: the sum that carries a cancellation holds."""
 
 from fractions import Fraction
+from types import SimpleNamespace
+from typing import Any
 
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from quinceslip.coordination.context import DRIFT, SECOND, Timing
+from quinceslip.coordination.ownership import Ownership
 from quinceslip.protocol.settings import Settings, SettingsError
 from tests.test_scenarios import Runner
 
@@ -53,3 +56,20 @@
                                         (30, 300, 900), (60, 3600, 10_000)):
         found = timing(report_s, lease_s, cancel_s)
         assert found is not None and found.grace_us > found.owner_lease_us // 2, (report_s, lease_s, cancel_s)
+
+
+@given(st.integers(0, 60), st.integers(0, 60))
+@settings(max_examples=200, deadline=None, database=None, derandomize=True)
+def test_rights_end_by_the_earlier_proof_of_contact(renewed_s: int, watched_s: int) -> None:
+    """Whichever of the answered renewal and the answered watch was sent longer ago; before both there are none."""
+    found = timing(4.0, 26.0, 46.0)
+    assert found is not None
+    now_us = 1000 * SECOND
+    ctx: Any = SimpleNamespace(timing=found, now_us=now_us, settings=SimpleNamespace(facts=SimpleNamespace(size=1)))
+    rights = Ownership(ctx, 0, lambda *_: None, lambda _: None)
+    assert not rights.answering()  # one that has just started knows of no contact
+    rights.lease, rights.lease_sent_us = 7, now_us - renewed_s * SECOND
+    rights.watch_sent_us = now_us - watched_s * SECOND
+    ago_us = max(renewed_s, watched_s) * SECOND
+    assert rights.entitled() == (ago_us < int(found.owner_lease_us * 0.95) - 50_000)
+    assert rights.answering() == (ago_us < found.owner_lease_us + found.grace_us)
