--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -77,6 +77,42 @@
     return text
 
 
+class Fields(dict[str, Any]):
+    """The `name=value` words of a line; one that its verb never looks at is an error, not ignored."""
+
+    def __init__(self, given: dict[str, Any]) -> None:
+        super().__init__(given)
+        self.left = set(given)
+
+    def __getitem__(self, key: str) -> Any:
+        self.left.discard(key)
+        return super().__getitem__(key)
+
+    def get(self, key: str, default: Any = None) -> Any:
+        self.left.discard(key)
+        return super().get(key, default)
+
+    def pop(self, key: str, *default: Any) -> Any:
+        self.left.discard(key)
+        return super().pop(key, *default)
+
+    def __contains__(self, key: object) -> bool:
+        self.left.discard(str(key))
+        return super().__contains__(key)
+
+    def items(self) -> Any:
+        self.left.clear()
+        return super().items()
+
+    def __iter__(self) -> Iterator[str]:
+        self.left.clear()
+        return super().__iter__()
+
+    def keys(self) -> Any:
+        self.left.clear()
+        return super().keys()
+
+
 class Runner:
     def __init__(self) -> None:
         self.facts: dict[str, Any] = {
@@ -109,7 +145,13 @@
         verb, rest = words[0], words[1:]
         plain = [w for w in rest if "=" not in w or w in ("<=", ">=", "==")]
         named = {k: value(v) for k, _, v in (w.partition("=") for w in rest if w not in plain)}
-        getattr(self, "do_" + verb)(plain, named)
+        self.obey("do_" + verb, plain, named)
+
+    def obey(self, verb: str, plain: list[str], named: dict[str, Any]) -> None:
+        """Raises AttributeError for an unknown verb, AssertionError for a field that it does not know."""
+        fields = Fields(named)
+        getattr(self, verb)(plain, fields)
+        assert not fields.left, f"{verb}: unknown {sorted(fields.left)}"
 
     # The world.
 
@@ -174,7 +216,7 @@
         self.full = True
 
     def do_at(self, plain: list[str], named: dict[str, Any]) -> None:
-        self.actions.append((float(plain[0]), plain[1], plain[2:], named))
+        self.actions.append((float(plain[0]), plain[1], plain[2:], {**named}))
 
     def do_errors(self, plain: list[str], named: dict[str, Any]) -> None:
         """errors TEXT: such lines may be in the log; any other line at this level fails the scenario"""
@@ -199,7 +241,7 @@
                     self.world.cloud.start(kind, zone, spot, 0)
         for at_s, verb, args, given in self.actions:
             self.world.after(max(1, at_s * US - self.world.now_us),
-                             lambda v=verb, a=args, g=given: getattr(self, "on_" + v)(a, g))
+                             lambda v=verb, a=args, g=given: self.obey("on_" + v, a, g))
         last_us = max((int(at_s * US) for at_s, *_ in self.actions), default=0)
         self.actions = []
         if plain[0] == "calm":
@@ -293,7 +335,7 @@
 
     def on_submit_many(self, args: list[str], named: dict[str, Any]) -> None:
         """submit_many FIRST COUNT [every=S] ...: jobs of one kind, with numbers from FIRST on, at once or one by one"""
-        every_us = int(named.pop("every", 0) * US)
+        every_us, named = int(named.pop("every", 0) * US), {**named}
         for place in range(int(args[1])):
             what = [f"req-{int(args[0]) + place:06d}", *args[2:]]
             self.w().after(place * every_us + 1, lambda w=what: self.on_submit(w, dict(named)))
@@ -692,7 +734,7 @@
         assert places and all(self.w().workers[n].host["build"] == args[1] for n in places), places
 
     def do_expect(self, plain: list[str], named: dict[str, Any]) -> None:
-        getattr(self, "check_" + plain[0])(plain[1:], named)
+        self.obey("check_" + plain[0], plain[1:], {**named})
 
     def check_done(self, args: list[str], named: dict[str, Any]) -> None:
         for uid in args:
--- a/tests/world.py
+++ b/tests/world.py
@@ -724,4 +724,5 @@
             "vcpus": 2.0, "gpus": 0.0, "memGb": 1.0, "kit": "img-1", "sizeGb": 1.0, "builds": None, "yard": None,
             "together": False, "spread": False, "loaners": True, "expectS": 5.0, "markEveryS": 0.0,
             "markCostS": 0.0, "dueS": None}
+    assert changes.keys() <= spec.keys(), f"no such field of a job: {sorted(changes.keys() - spec.keys())}"
     return {**spec, **changes}
