--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -60,13 +60,19 @@
     node.ctx.now_us += 1_000_000
     assert shard.reported(own) is None and worker.answered_us < node.ctx.now_us  # a copy of it
     assert shard.reported(msgspec.structs.replace(own, seq=own.seq - 1)) is None  # an older one
+    # What an owner before us may renew until then is not taken back by an answer of ours, which may be lost.
+    worker.answered_us = until_us = node.ctx.now_us + 9_000_000
+    assert shard.reported(msgspec.structs.replace(last, seq=last.seq + 4), True) is None
+    assert shard.reported(msgspec.structs.replace(last, seq=last.seq + 3)) is not None
+    assert shard.reported(msgspec.structs.replace(last, seq=last.seq + 5)) is not None
+    assert worker.answered_us == until_us
     # Its job is withdrawn, and the owner is in its grace: that answer renews the lease too, so it says what is over.
     job = node.ctx.view.job("req-000001")
     assert job is not None and {t.task for t in last.tasks} == {"req-000001/0", "req-000001/1"}
     node.ctx.view.by_kind["job"]["req-000001"] = records.final_record(job, m.WITHDRAWN, 0)
     shard.recorder.sync("req-000001")
     node.ctx.now_us += node.ctx.timing.owner_lease_us
-    assert shard.reported(msgspec.structs.replace(last, seq=last.seq + 5), True) is None
-    said = shard.reported(msgspec.structs.replace(last, seq=last.seq + 4))
+    assert shard.reported(msgspec.structs.replace(last, seq=last.seq + 8), True) is None
+    said = shard.reported(msgspec.structs.replace(last, seq=last.seq + 7))
     assert said is not None and not node.ownership.entitled()
     assert {(c.op, c.task) for c in said.commands} == {("halt", "req-000001/0"), ("halt", "req-000001/1")}
