--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -31,7 +31,7 @@
     """The state service refuses the owner alone, then is down for all; once, or twice in a row."""
     lines = []
     for _ in range(draw(st.integers(1, 2))):
-        alone_s, all_s = draw(st.sampled_from([2, 5, 14])), draw(st.sampled_from([8, 20, 40, 75]))
+        alone_s, all_s = draw(st.sampled_from([2, 5, 14])), draw(st.sampled_from([8, 20, 40, 75, 105]))
         down_s = at_s + draw(tenths(0.5, alone_s + 1))
         lines += [f"at {at_s:.2f} cut_state berth-0 {alone_s} {draw(MODES)}",
                   *cancels(draw, at_s), f"at {down_s:.2f} outage state {all_s}"]
