--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -450,10 +450,10 @@
 
     def on_slow_commands(self, args: list[str], named: dict[str, Any]) -> None:
         """slow_commands WORKER|... S there=MOST back=MOST: direct commands, or their answers, are held up alone"""
+        there_s, back_s = float(named.get("there", 0)), float(named.get("back", 0))
         for worker in self._workers(args):
-            worker.slow_do = (self.w().trouble(float(args[1])), int(float(named.get("there", 0)) * US),
-                              int(float(named.get("back", 0)) * US))
-            self.w().trouble(float(args[1]) + float(named.get("there", 0)))
+            worker.slow_do = (self.w().trouble(float(args[1])), int(there_s * US), int(back_s * US))
+            self.w().trouble(float(args[1]) + there_s)
 
     def on_cut_workers(self, args: list[str], named: dict[str, Any]) -> None:
         """cut_workers NAME S [zone=Z]: nothing passes between a controller and any worker, or those of a zone."""
@@ -566,9 +566,9 @@
 
     def on_copies(self, args: list[str], named: dict[str, Any]) -> None:
         """copies WORKER|... S times=N late=S: each report comes again so often, a second to so long after."""
-        late_s = float(named.get("late", 3 * self.facts["workers"]["lease_s"]))
+        late_s, times = float(named.get("late", 3 * self.facts["workers"]["lease_s"])), named.get("times", 1)
         for worker in self._workers(args):
-            worker.copies = (self.w().trouble(float(args[1])), named.get("times", 1), int(late_s * US))
+            worker.copies = (self.w().trouble(float(args[1])), times, int(late_s * US))
             self.w().trouble(float(args[1]) + late_s)
 
     def on_reboot(self, args: list[str], named: dict[str, Any]) -> None:
@@ -611,8 +611,8 @@
 
     def on_take(self, args: list[str], named: dict[str, Any]) -> None:
         """take WORKER [notice=S]: the cloud takes the machine."""
+        notice_s = named.get("notice", 0)
         for worker in self._workers(args):
-            notice_s = named.get("notice", 0)
             self.w().trouble(notice_s)
             worker.notice_us = self.w().now_us + int(notice_s * US)
             worker.changed = True
