--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -48,7 +48,7 @@
 from quinceslip.models.takeover import read_steps
 from quinceslip.protocol import messages as m
 from quinceslip.protocol.frames import HEADER, Beat, ShardLoad, pack_beat, read_beat
-from quinceslip.protocol.settings import Settings, SettingsError, Tuning
+from quinceslip.protocol.settings import SettingsError, Tuning
 from quinceslip.quota.model import explore
 from quinceslip.quota.plots import merged
 from quinceslip.standstill import notes
@@ -60,7 +60,7 @@
 from tests.checker import SILENT_S, Checker
 from tests.inputs import ROOT, bad_input
 from tests.loopback import loopback, standstill
-from tests.world import US, World, job_spec
+from tests.world import US, World, job_spec, settings_of
 
 COMPARE = {"==": operator.eq, "<=": operator.le, ">=": operator.ge}
 FOLDER = Path(__file__).parent / "scenarios"
@@ -492,10 +492,7 @@
     def do_long_listing(self, plain: list[str], named: dict[str, Any]) -> None:
         """long_listing N: one message with so many records makes steps all along, so it is no standstill"""
         world = World(self.facts, [], 1)
-        node = Node(msgspec.convert({
-            "label": "berth-0", "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
-            "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:2379"}, "facts": world.facts}, Settings),
-            Tuning(), 0, 0)
+        node = Node(settings_of(world.facts), Tuning(), 0, 0)
         raw = msgspec.Raw(msgspec.json.encode(JobRecord("done", 4, done=4)))
         items = [m.Item(f"q/job/req-{n:06d}", raw, n + 1) for n in range(int(plain[0]))]
         node.handle(ViewReset(items, len(items), 0), 1)
@@ -503,11 +500,7 @@
 
     def do_listing_in_pages(self, plain: list[str], named: dict[str, Any]) -> None:
         """listing_in_pages FIRST LAST: read over these ledgers; nothing is decided before the watch brings the last"""
-        world = World(self.facts, [], 1)
-        node = Node(msgspec.convert({
-            "label": "berth-0", "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
-            "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:2379"},
-            "facts": {**world.facts, "size": 1}}, Settings), Tuning(), 0, 0)
+        node = Node(settings_of({**self.facts, "size": 1}), Tuning(), 0, 0)
         claims, first, last = [0], int(plain[0]), int(plain[1])
 
         def gives(message: Any, now_us: int) -> None:
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -4,14 +4,14 @@
 from types import SimpleNamespace
 from typing import Any
 
-import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from quinceslip.coordination.context import DRIFT, SECOND, Timing
 from quinceslip.coordination.ownership import Ownership
-from quinceslip.protocol.settings import Settings, SettingsError
+from quinceslip.protocol.settings import SettingsError
 from tests.test_scenarios import Runner
+from tests.world import settings_of
 
 seconds = st.one_of(st.floats(0.01, 100.0), st.floats(0.01, 100_000.0), st.sampled_from([1.0, 4.0, 10.0, 15.25, 26.0]))
 
@@ -20,9 +20,7 @@
     """What is derived; None where the settings are refused, and then a field is named with its value."""
     facts = {**Runner().facts, "workers": {"report_s": report_s, "lease_s": lease_s, "cancel_s": cancel_s}, "size": 1}
     try:
-        return Timing(msgspec.convert({
-            "label": "berth-0", "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
-            "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"}, "facts": facts}, Settings))
+        return Timing(settings_of(facts))
     except SettingsError as error:
         assert any(f"facts.workers.{name} = {value:g}: " in str(error) for name, value in
                    (("report_s", report_s), ("lease_s", lease_s), ("cancel_s", cancel_s))), str(error)
--- a/tests/world.py
+++ b/tests/world.py
@@ -488,12 +488,7 @@
     def start(self) -> None:
         if self.node is not None:
             return
-        others = [{"label": n, "location": "z", "endpoint": "10.0.0.9:1"}
-                  for n in (f"berth-{i}" for i in range(self.world.facts["size"])) if n != self.label]
-        settings = msgspec.convert(
-            {"label": self.label, "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
-             "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"}, "known": others,
-             "facts": self.world.facts}, Settings)
+        settings = settings_of(self.world.facts, self.label)
         self.life += 1
         self.waiting.clear()
         self.node = Node(settings, Tuning(), self.world.now_us, self.world.now_us, makers(settings, self.operators))
@@ -719,6 +714,15 @@
     return [said for said in found if said is not None]
 
 
+def settings_of(facts: dict[str, Any], label: str = "berth-0") -> Settings:
+    """What the platform hands over to one controller of such a site."""
+    others = [{"label": n, "location": "z", "endpoint": "10.0.0.9:1"}
+              for n in (f"berth-{i}" for i in range(facts["size"])) if n != label]
+    return msgspec.convert(
+        {"label": label, "location": "z", "api_addr": "10.0.0.1:80", "peer_bind": "10.0.0.1:81",
+         "outside": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"}, "known": others, "facts": facts}, Settings)
+
+
 def job_spec(uid: str, **changes: Any) -> dict[str, Any]:
     spec = {"uid": uid, "lane": "batch", "crew": "team", "shape": "array", "rank": "normal", "picks": 1,
             "vcpus": 2.0, "gpus": 0.0, "memGb": 1.0, "kit": "img-1", "sizeGb": 1.0, "builds": None, "yard": None,
