An accepted job never gets 400; the judge sees who waits beside room, odd acceptances and late starts

Found by going through the code: a submission that can't be read was answered 400 by the thread that read it, also where its id was that of an accepted job, which counts as forgotten. Change: protocol.messages.read_submission tells a malformed submission's id; one with an id goes behind the same read as a poll, and gets 400 only where that shows no such job. 400 and 422 name the field, team or what fits not. The judge (tests/checker.py) has left_waiting, accepted_wrong, 404 to cancellations, starts after a confirmation; each with a checker-* scenario. 404 to a poll is judged by when it was asked, since users now ask all nodes while they submit: as strict for all that is asked later. Slow links widen the bound of the hearsay check by their latency. New verbs in tests/troubles.py, a part of the runner.

--- a/quinceslip/coordination/effects.py
+++ b/quinceslip/coordination/effects.py
@@ -76,9 +76,9 @@
 @dataclass(slots=True)
 class UserRequest:
     request: int
-    verb: str  # "submit", "poll", "cancel", "ready"
+    verb: str  # "submit", "malformed", "poll", "cancel", "ready"
     uid: str = ""
-    spec: Any = None
+    spec: Any = None  # what is submitted, or why that can't be read
 
 
 @dataclass(slots=True)
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -66,6 +66,9 @@
     def take(self, request: UserRequest) -> None:
         if request.verb == "submit":
             self._submit(request.request, request.spec)
+        elif request.verb == "malformed":
+            # Not before it is sure that the job is not known: an accepted job never gets 400.
+            self._poll(request.request, request.uid, absent=(400, {"error": request.spec.why}))
         elif request.verb == "poll":
             self._poll(request.request, request.uid)
         else:
@@ -86,11 +89,13 @@
     def _never_runs(self, spec: m.JobSpec) -> str | None:
         """Why a job can never run; None if it can."""
         if self.ctx.team(spec.team) is None:
-            return "unknown team"
+            return f"unknown team {spec.team}"
         kinds = [t for t in self.ctx.types.values() if spec.types is None or t.label in spec.types]
         if not any(t.cpus >= spec.cpus and t.gpus >= spec.gpus and t.memory_gb >= spec.memory_gb
                    and (spec.zone is None or spec.zone in t.zones) for t in kinds):
-            return "fits no allowed machine type"
+            where = "" if spec.zone is None else f" in {spec.zone}"
+            return (f"a task of {spec.cpus:g} CPUs, {spec.gpus:g} GPUs and {spec.memory_gb:g} GB fits no allowed "
+                    f"machine type{where}: {', '.join(sorted(t.label for t in kinds)) or 'there is none'}")
         return next((why for s in self.subsystems if (why := s.never_runs(spec)) is not None), None)
 
     def _submit(self, request: int, spec: m.JobSpec) -> None:
--- a/quinceslip/protocol/messages.py
+++ b/quinceslip/protocol/messages.py
@@ -6,6 +6,7 @@
 
 import math
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -15,6 +16,7 @@
 U64 = Annotated[int, Meta(ge=0)]
 Amount = Annotated[float, Meta(ge=0)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
+Uid = Annotated[str, Meta(pattern=r"^req-[0-9]{1,32}$")]
 
 RANKS = {"production": 0, "urgent": 1, "normal": 2, "low": 3}
 QUEUED, RUNNING, DONE, WITHDRAWN = "queued", "running", "done", "withdrawn"
@@ -32,7 +34,7 @@
 
 
 class JobSpec(Struct, frozen=True, kw_only=True):
-    uid: Annotated[str, Meta(pattern=r"^req-[0-9]{1,32}$")]
+    uid: Uid
     job_class: Text = field(name="lane")
     team: Text = field(name="crew")
     kind: Literal["array", "group", "standing"] = field(name="shape")
@@ -71,10 +73,38 @@
     def priority(self) -> int:
         return RANKS[self.rank]
 
-    def amounts_finite(self) -> bool:
-        amounts = (self.cpus, self.gpus, self.memory_gb, self.image_gb, self.estimate_s,
-                   self.checkpoint_s, self.save_s, self.deadline_s or 0.0)
-        return all(math.isfinite(a) for a in amounts)
+
+class _Named(Struct):
+    uid: Uid
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """A submission that can't be read, and why. `uid` is empty where it names no job that could ever be accepted."""
+
+    uid: str
+    why: str
+
+
+_spec_decoder = msgspec.json.Decoder(JobSpec)
+_named_decoder = msgspec.json.Decoder(_Named)
+_AMOUNTS = {f.name: f.encode_name for f in msgspec.structs.fields(JobSpec) if f.name.endswith(("pus", "_gb", "_s"))}
+
+
+def read_submission(body: bytes) -> JobSpec | Malformed:
+    """What a user submits. A malformed one is still told apart by its id: that may be an accepted job's."""
+    try:
+        spec = _spec_decoder.decode(body)
+        for name, wire in _AMOUNTS.items():
+            if not math.isfinite(getattr(spec, name) or 0.0):
+                raise msgspec.ValidationError(f"the amount is not finite - at `$.{wire}`")
+        return spec
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        why = str(error)
+    try:
+        return Malformed(_named_decoder.decode(body).uid, why)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return Malformed("", why)
 
 
 class TaskReport(Struct):
--- a/quinceslip/transport/http_server.py
+++ b/quinceslip/transport/http_server.py
@@ -25,7 +25,6 @@
 
 IDLE_S = 20.0
 ANSWER_S = 4.5
-_spec_decoder = msgspec.json.Decoder(m.JobSpec)
 _report_decoder = msgspec.json.Decoder(m.WorkerReport)
 
 
@@ -180,12 +179,13 @@
             self._send(reply.status, reply.body, reply.headers)
 
     def _submit(self, body: bytes) -> None:
-        try:
-            spec = _spec_decoder.decode(body)
-            if not spec.amounts_finite():
-                raise msgspec.ValidationError("an amount is not finite")
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-            self._send(400, {"error": str(error)})
+        spec = m.read_submission(body)
+        if isinstance(spec, m.Malformed):
+            if spec.uid:
+                # Guard: a repeat of an accepted job gets its state, however it is written; 400 would be for ever.
+                self._ask(lambda n: UserRequest(n, "malformed", spec.uid, spec), ANSWER_S)
+            else:
+                self._send(400, {"error": spec.why})
             return
         self._ask(lambda n: UserRequest(n, "submit", spec.uid, spec), ANSWER_S)
 
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -8,6 +8,9 @@
 SILENT_S = 75
 #: the largest jobs of a class begin within this long of the first attempt to submit them
 BEGIN_S = 240
+#: no job waits for so long while a machine that fits has room and its team is under its limit
+WAIT_S = 90
+KINDS = {"cpus": "vcpus", "gpus": "gpus", "memory_gb": "memGb"}
 
 
 class Checker:
@@ -30,6 +33,9 @@
         self.answers: dict[str, list[int]] = defaultdict(list)
         self.asked_us: dict[str, int] = {}  # first attempt to submit
         self.told_us: dict[str, int] = {}  # last answer about an accepted job
+        self.accepted_us: dict[str, int] = {}  # when a user was first told that a job is accepted
+        self.late_starts = 0  # tasks that began after a user was told that their job is cancelled
+        self.waits_us: dict[str, int] = {}  # since when a job has waited beside room that it could have
         self.excused = ""  # why the end of this day is not judged by what was served
 
     def note(self, text: str) -> None:
@@ -73,6 +79,7 @@
         self.where[task].add(worker.name)
         self.starts[task].append(self.world.now_us)
         self._quota()
+        self.late_starts += uid in self.cancelled_us
         self._late(task, "starts")
 
     def off(self, task: str, worker: str) -> None:
@@ -85,21 +92,26 @@
         if told_us is not None and self.world.now_us > told_us + limit_us:
             self.breach("ran_cancelled", f"{task} {what}")
 
-    def _quota(self) -> None:
-        """Every level, summed anew from what is on machines: no level is ever over its cap."""
-        spec_of = self.world.jobs
-        kinds = {"cpus": "vcpus", "gpus": "gpus", "memory_gb": "memGb"}
+    def _caps(self) -> tuple[dict[str, dict[str, float]], dict[str, str]]:
+        """Of every level its caps, and the level above."""
         caps: dict[str, dict[str, float]] = defaultdict(dict)
         above: dict[str, str] = {}
         for team in self.world.facts.get("teams", []):
-            caps[team["name"]] = {kind: team[kind + "_max"] for kind in kinds if team.get(kind + "_max")}
+            caps[team["name"]] = {kind: team[kind + "_max"] for kind in KINDS if team.get(kind + "_max")}
         for section, given in self.world.operators.items():
             name = section.partition(" ")[2]
             above[name] = above.get(name) or given.get("parent", "")
             above.update({t.strip(): name for t in given.get("teams", "").split(",") if t.strip()})
-            for kind in [*kinds, "tasks"]:
+            for kind in [*KINDS, "tasks"]:
                 if name and kind + "_max" in given:
                     caps[name][kind] = min(float(given[kind + "_max"]), caps[name].get(kind, 1e18))
+        return caps, above
+
+    def _quota(self) -> None:
+        """Every level, summed anew from what is on machines: no level is ever over its cap."""
+        spec_of = self.world.jobs
+        kinds = KINDS
+        caps, above = self._caps()
         used: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
         for task, places in self.where.items():
             spec = spec_of[task.rpartition("/")[0]]
@@ -127,6 +139,12 @@
 
     def submitted(self, uid: str, status: int, body: Any) -> None:
         if status in (200, 201):
+            if uid in self.world.odd and uid not in self.accepted:
+                self.breach("accepted_wrong", f"{uid} can't run or lacks a field")
+                return
+            if uid not in self.accepted:
+                self.accepted_us[uid] = self.world.now_us
+                self._news(uid, "accepted")
             self.accepted.setdefault(uid, body)
             self._answered(uid)
             self.heard(uid, body)
@@ -135,8 +153,7 @@
 
     def polled(self, uid: str, status: int, body: Any) -> None:
         self.answers[uid].append(status)
-        if status == 404 and uid in self.accepted:
-            self.breach("forgotten", f"{uid} answered 404")
+        self._unknown(uid, status)
         if status == 200:
             if uid not in self.world.jobs:
                 self.breach("invented", uid)
@@ -144,7 +161,18 @@
             self._answered(uid)
             self.heard(uid, body)
 
+    def _unknown(self, uid: str, status: int) -> None:
+        """404 for a question asked after its user heard of the acceptance, whichever node was asked."""
+        asked_us = self.world.now_us if self.question_us is None else self.question_us
+        if status == 404 and uid in self.accepted and asked_us >= self.accepted_us[uid]:
+            self.breach("forgotten", f"{uid} answered 404")
+
+    def _news(self, uid: str, status: str) -> None:
+        for hears in self.world.on_news:
+            hears(uid, status)
+
     def cancel_answer(self, uid: str, status: int, body: Any) -> None:
+        self._unknown(uid, status)
         if status == 200:
             if uid not in self.world.jobs:
                 self.breach("invented", uid)
@@ -160,8 +188,9 @@
             self.breach("went_back", f"{uid}: {before}, then {status}")
         if before in final and status not in final:
             return
-        if status in final:
-            self.final_us.setdefault(uid, self.world.now_us)
+        if status in final and uid not in self.final_us:
+            self.final_us[uid] = self.world.now_us
+            self._news(uid, status)
         if status == "withdrawn":
             if uid not in self.cancel_asked:
                 self.breach("went_back", f"{uid} is called cancelled, which nobody asked for")
@@ -183,6 +212,82 @@
             self.breach("forgotten", f"{uid}: nothing was answered for {silent_us / US:.0f} s")
         self.told_us[uid] = now_us
 
+    def look(self) -> None:
+        """Who waits beside room that he could have; asked for every second or two, judged once troubles are over."""
+        world, now_us = self.world, self.world.now_us
+        if now_us < world.calm_us:
+            self.waits_us.clear()
+            return
+        machines = [(w, _free(w)) for w in world.workers.values() if hasattr(w, "type") and w.notice_us is None]
+        there = {t for w, _ in machines for t, task in w.tasks.items() if task["status"] != "exited"}
+        self._quota()
+        waits: dict[str, int] = {}
+        for uid in self.accepted:
+            if self.told.get(uid) in ("done", "withdrawn") or uid in self.cancel_asked or world.failing.get(uid):
+                continue
+            spec = world.jobs[uid]
+            left = [i for i in range(spec["picks"]) if f"{uid}/{i}" not in there
+                    and f"{uid}/{i}" not in self.completed and not self.where.get(f"{uid}/{i}")]
+            if left and self._could_start(spec, len(left), machines, there):
+                waits[uid] = self.waits_us.get(uid, now_us)
+                if now_us - waits[uid] > WAIT_S * US:
+                    self.breach("left_waiting", f"{uid}: {len(left)} tasks, beside room for {WAIT_S} s")
+                    waits[uid] = now_us
+        self.waits_us = waits
+
+    def _could_start(self, spec: dict[str, Any], left: int, machines: list[Any], there: set[str]) -> bool:
+        """Whether machines and limits would have one more task, or all that are left of what starts together."""
+        uid, need = spec["uid"], (spec["vcpus"], spec["gpus"], spec["memGb"])
+        begun = left < spec["picks"]
+        count = left if spec["shape"] == "group" or (spec["shape"] == "standing" and not begun) else 1
+        if not self._under_limits(spec, count, machines):
+            return False
+        zones: dict[str, int] = defaultdict(int)  # of its tasks
+        room: dict[str, int] = defaultdict(int)  # for its tasks, by zone
+        for worker, free in machines:
+            host = worker.host
+            zones[host["yard"]] += sum(t.startswith(uid + "/") and task["status"] != "exited"
+                                       for t, task in worker.tasks.items())
+            if (spec["builds"] is None or host["build"] in spec["builds"]) and spec["yard"] in (
+                    None, host["yard"]) and (spec["loaners"] or not host["loaners"]):
+                fits = [int((f + 1e-6) // n) for f, n in zip(free, need, strict=True) if n]
+                room[host["yard"]] += max(0, min(fits, default=count))
+        if spec["together"]:
+            used = {z for z, n in zones.items() if n}
+            return any(n >= count for z, n in room.items() if not used or used == {z})
+        if spec["spread"]:
+            most = (spec["picks"] + 1) // 2
+            room = {z: min(n, max(0, most - zones[z])) for z, n in room.items()}
+        return sum(room.values()) >= count
+
+    def _under_limits(self, spec: dict[str, Any], count: int, machines: list[Any]) -> bool:
+        """As `_quota` has the levels, by the lowest cap in any controller's file; what fetches its image counts."""
+        caps, above = self._caps()
+        for host in self.world.hosts.values():
+            for level, given in ((name.partition(" ")[2], host.operators[name]) for name in host.operators.sections()):
+                for kind in [*KINDS, "tasks"]:
+                    if level and kind + "_max" in given:
+                        caps[level][kind] = min(float(given[kind + "_max"]), caps[level].get(kind, 1e18))
+        level = spec["crew"]
+        # Bound: the depth of the tree.
+        while level:
+            there = [self.world.jobs[t.rpartition("/")[0]] for w, _ in machines for t, task in w.tasks.items()
+                     if task["status"] != "exited" and self._beneath(t, level, above)] if caps.get(level) else []
+            for kind, cap in caps.get(level, {}).items():
+                takes = [s[KINDS[kind]] if kind in KINDS else 1 for s in [spec] * count + there]
+                if sum(takes) > cap + 1e-6:
+                    return False
+            level = above.get(level, "")
+        return True
+
+    def _beneath(self, task: str, level: str, above: dict[str, str]) -> bool:
+        uid = task.rpartition("/")[0]
+        at = self.world.jobs[uid]["crew"] if uid in self.world.jobs else ""
+        # Bound: the depth of the tree.
+        while at and at != level:
+            at = above.get(at, "")
+        return bool(at)
+
     def _served(self, uid: str) -> bool:
         spec = self.world.jobs[uid]
         if spec["shape"] == "standing":
@@ -235,3 +340,10 @@
             self._judge_served()
         if self.accepted and not self.starts:
             self.breach("nothing_ran", "no task was started")
+
+
+def _free(worker: Any) -> tuple[float, float, float]:
+    """CPUs, GPUs and GB that no task of a machine takes, those that fetch their image among them."""
+    specs = [t["spec"] for t in worker.tasks.values() if t["status"] != "exited" and t["spec"] is not None]
+    used = [sum(s[name] for s in specs) for name in KINDS.values()]
+    return (worker.type["vcpus"] - used[0], worker.type["gpus"] - used[1], worker.type["memGb"] - used[2])
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -57,9 +57,10 @@
 from quinceslip.storage.records import JobRecord, StandstillRecord, View
 from quinceslip.transport.actor import ActorThread
 from quinceslip.transport.clients import Budget, Pool
-from tests.checker import SILENT_S, Checker
+from tests.checker import SILENT_S, WAIT_S, Checker
 from tests.inputs import ROOT, bad_input
 from tests.loopback import loopback, standstill
+from tests.troubles import Troubles
 from tests.world import US, World, job_spec, settings_of
 
 COMPARE = {"==": operator.eq, "<=": operator.le, ">=": operator.ge}
@@ -113,8 +114,9 @@
         return super().keys()
 
 
-class Runner:
+class Runner(Troubles):
     def __init__(self) -> None:
+        super().__init__()
         self.facts: dict[str, Any] = {
             "size": 3, "zones": ["a", "b"], "time_bound_ms": 5.0, "teams": [{"name": "team"}],
             "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 35.0},
@@ -247,7 +249,7 @@
         if plain[0] == "calm":
             # To the end of all troubles, and on until everything must be served and a silence would be noticed.
             self.world.run(max(last_us, self.world.now_us) + 1)
-            wait_us = max(self.world.bound_us(), SILENT_S * US) + US
+            wait_us = max(self.world.bound_us(), SILENT_S * US, WAIT_S * US) + US
             self.world.run(max(self.world.calm_us, self.world.now_us) + wait_us)
         else:
             self.world.run(int(float(plain[0]) * US))
@@ -295,7 +297,7 @@
         names = {"tasks": "picks", "cpus": "vcpus", "team": "crew", "memory": "memGb", "spot": "loaners",
                  "zone": "yard", "estimate": "expectS", "checkpoint": "markEveryS", "save": "markCostS"}
         run_s, by, apart_s = named.pop("run", 5), named.pop("by", ""), named.pop("apart", 0)
-        failing, poll_s = named.pop("fails", 0), named.pop("poll", 2)
+        failing, poll_s, lacks = named.pop("fails", 0), named.pop("poll", 2), named.pop("lacks", "")
         given = {names.get(k, k): v for k, v in named.items()}
         for key in ("vcpus", "memGb", "gpus", "expectS", "markEveryS", "markCostS"):
             if key in given:
@@ -303,8 +305,12 @@
         if "types" in given:
             given["builds"] = str(given.pop("types")).split(",")
         spec = job_spec(uid, shape="standing" if "service" in args else "group" if "gang" in args else "array", **given)
+        if lacks:
+            del spec[lacks]
         if uid in world.jobs:
-            spec = world.jobs[uid] | {k: spec[k] for k in ("picks", "vcpus")}
+            spec = spec if lacks else world.jobs[uid] | {k: spec[k] for k in ("picks", "vcpus")}
+        elif lacks:
+            world.odd[uid] = spec
         else:
             world.jobs[uid], world.run_s[uid], world.failing[uid] = spec, run_s, failing
             world.apart_s[uid] = apart_s
@@ -334,11 +340,15 @@
         attempt()
 
     def on_submit_many(self, args: list[str], named: dict[str, Any]) -> None:
-        """submit_many FIRST COUNT [every=S] ...: jobs of one kind, with numbers from FIRST on, at once or one by one"""
-        every_us, named = int(named.pop("every", 0) * US), {**named}
+        """submit_many FIRST COUNT [every=S] [off=S] ...: jobs of one kind, with numbers from FIRST on, at once or one
+        by one; with `off`, each fourth is cancelled so long after
+        """
+        every_us, off_s, named = int(named.pop("every", 0) * US), named.pop("off", None), {**named}
         for place in range(int(args[1])):
             what = [f"req-{int(args[0]) + place:06d}", *args[2:]]
             self.w().after(place * every_us + 1, lambda w=what: self.on_submit(w, dict(named)))
+            if off_s is not None and place % 4 == 3:
+                self.w().after(place * every_us + off_s * US, lambda w=what: self.on_cancel(w[:1], {}))
 
     def on_submit_teams(self, args: list[str], named: dict[str, Any]) -> None:
         """submit_teams FIRST COUNT ...: a job of each of the teams t-1, t-2, ..."""
@@ -433,7 +443,14 @@
         self.w().state.refused[args[0]] = self.w().trouble(float(args[1]))
 
     def on_late(self, args: list[str], named: dict[str, Any]) -> None:
-        """late NAME S DELAY [MOST] [share=P]: of its transactions that share is carried out late, unanswered."""
+        """late NAME S DELAY [MOST] [share=P]: of its transactions that share is carried out late, unanswered.
+
+        `late NAME S at_once [share=P]`: they are carried out at once, and only their answers are lost.
+        """
+        if args[2] == "at_once":
+            for label in self.w().hosts if args[0] == "all" else args[:1]:
+                self.w().state.unanswered[label] = (self.w().trouble(float(args[1])), float(named.get("share", 1.0)))
+            return
         least_s, most_s = float(args[2]), float(args[-1])
         self.w().state.late[args[0]] = (self.w().trouble(float(args[1])), int(least_s * US), int(most_s * US),
                                         float(named.get("share", 1.0)))
@@ -558,7 +575,14 @@
             worker.unheard_until_us, worker.drops = self.w().trouble(float(args[1])), "lost" in args
 
     def on_copies(self, args: list[str], named: dict[str, Any]) -> None:
-        """copies WORKER|... S times=N late=S: each report comes again so often, a second to so long after."""
+        """copies WORKER|... S times=N late=S: each report comes again so often, a second to so long after.
+
+        `copies WORKER|... S for_next`: one of its latest is kept, and reaches every controller as a shard is claimed.
+        """
+        if "for_next" in args:
+            for worker in self._workers(args):
+                worker.for_next_until_us = self.w().trouble(float(args[1]))
+            return
         late_s, times = float(named.get("late", 3 * self.facts["workers"]["lease_s"])), named.get("times", 1)
         for worker in self._workers(args):
             worker.copies = (self.w().trouble(float(args[1])), times, int(late_s * US))
@@ -594,9 +618,9 @@
             self.w().hosts[args[0]].state_cut = (until_us, args[2])
 
     def on_mute(self, args: list[str], named: dict[str, Any]) -> None:
-        """mute WORKER S: its reports are lost, while direct commands reach it."""
+        """mute WORKER|... S [refused]: it reaches no controller, while direct commands reach it."""
         for worker in self._workers(args):
-            worker.mute_until_us = self.w().trouble(float(args[1]))
+            worker.mute_until_us, worker.mute_refused = self.w().trouble(float(args[1])), "refused" in args
 
     def on_hang(self, args: list[str], named: dict[str, Any]) -> None:
         for worker in self._workers(args):
@@ -641,6 +665,12 @@
             checker.cancel_asked.add(rest[0])
         elif what == "asks":
             checker.asks(rest[0])
+        elif what == "off":
+            checker.off(rest[0], rest[1])
+        elif what == "odd":
+            self.w().odd[rest[0]] = {}
+        elif what == "asked_ago":
+            checker.question_us = self.w().now_us - int(float(rest[0]) * US)
         elif what == "trouble":
             self.w().trouble(float(rest[0]))
         elif what == "wait":
@@ -775,6 +805,23 @@
         times = [s[-1] for t, s in self.w().checker.starts.items() if t.startswith(args[0] + "/")]
         assert max(times) - min(times) < 3 * US, times
 
+    def check_late_starts(self, args: list[str], named: dict[str, Any]) -> None:
+        """late_starts OP N: tasks that began after their job was confirmed as cancelled, by commands on their way"""
+        assert COMPARE[args[0]](self.w().checker.late_starts, int(args[1])), self.w().checker.late_starts
+
+    def check_answers_lost(self, args: list[str], named: dict[str, Any]) -> None:
+        """answers_lost N: so many transactions at least were carried out at once, without an answer"""
+        assert self.w().state.answers_lost >= int(args[0]), self.w().state.answers_lost
+
+    def check_kept_came(self, args: list[str], named: dict[str, Any]) -> None:
+        """kept_came N: so many old reports at least arrived as a shard got an owner"""
+        assert self.w().kept_came >= int(args[0]), self.w().kept_came
+
+    def check_terms(self, args: list[str], named: dict[str, Any]) -> None:
+        """terms OP N: shards got an owner so often"""
+        count = self.w().state.data["q/term"][0]["term"]
+        assert COMPARE[args[0]](count, int(args[1])), f"{count} terms"
+
     def check_killed(self, args: list[str], named: dict[str, Any]) -> None:
         """killed OP N: tasks that the lease of their worker ended"""
         assert COMPARE[args[0]](self.w().killed, int(args[1])), f"{self.w().killed} tasks killed by their lease"
--- /dev/null
+++ b/tests/troubles.py
@@ -0,0 +1,161 @@
+"""Verbs of scenarios for troubles that meet: users who look closely or ask oddly, cancellations at awkward moments."""
+
+from typing import Any
+
+from tests.world import US, World
+
+#: hosts of cancelled jobs that hang, at the most
+MOST_HUNG = 8
+
+
+class Troubles:
+    """A part of the runner: what `at T VERB ...` says, for verbs that watch the day and step in."""
+
+    def __init__(self) -> None:
+        self.next_odd = 900_000
+        self.met: dict[str, int] = {}  # how often each of these troubles met something
+
+    def w(self) -> World:
+        raise NotImplementedError
+
+    def ask(self, verb: str, uid: str, heard: Any, spec: Any = None, by: str = "") -> None:
+        raise NotImplementedError
+
+    def on_cancel(self, args: list[str], named: dict[str, Any]) -> None:
+        raise NotImplementedError
+
+    def _meets(self, what: str) -> None:
+        self.met[what] = self.met.get(what, 0) + 1
+
+    def check_met(self, args: list[str], named: dict[str, Any]) -> None:
+        """met WHAT N: this trouble met something so often at least; without that its scenario would show nothing"""
+        assert self.met.get(args[0], 0) >= int(args[1]), self.met
+
+    # What users do.
+
+    def _cancel_in(self, uid: str, seconds: float, by: str = "") -> None:
+        self.w().after(seconds * US, lambda: self.on_cancel([uid], {"by": by} if by else {}))
+
+    def on_close_looks(self, args: list[str], named: dict[str, Any]) -> None:
+        """close_looks S [cancel=SHARE]: all nodes are asked within milliseconds after what a user was told of a job
+
+        The submission is repeated as well; of what has just been accepted that share is cancelled at once.
+        """
+        world, share = self.w(), float(named.get("cancel", 0))
+        until_us = world.trouble(float(args[0]))
+
+        def news(uid: str, status: str) -> None:
+            if world.now_us >= until_us or uid in world.odd:
+                return
+            self._meets("close_looks")
+            for label in world.hosts:
+                for _ in range(2):
+                    world.after(world.random.randint(1, 8000), lambda n=label: self.ask(
+                        "poll", uid, lambda s, b: world.checker.polled(uid, s, b), by=n))
+                world.after(world.random.randint(1, 8000), lambda n=label: self.ask(
+                    "submit", uid, lambda s, b: world.checker.submitted(uid, s, b), world.jobs[uid], by=n))
+            if status not in ("done", "withdrawn") and world.random.random() < share:
+                self._cancel_in(uid, 0.001)
+
+        world.on_news.append(news)
+
+    def on_odd_requests(self, args: list[str], named: dict[str, Any]) -> None:
+        """odd_requests S [every=S]: repeats of unfinished jobs, as they were and spoilt; cancellations of what is done;
+        jobs that fit no machine or lack a field"""
+        world, every_us = self.w(), int(float(named.get("every", 0.3)) * US)
+        until_us = world.trouble(float(args[0]))
+
+        def spoilt(spec: dict[str, Any]) -> dict[str, Any]:
+            if world.random.random() < 0.5:
+                return {**spec, "vcpus": 9999.0}
+            lacks = world.random.choice(["lane", "crew", "picks", "vcpus", "expectS"])
+            return {k: v for k, v in spec.items() if k != lacks}
+
+        def one() -> None:
+            if world.now_us >= until_us:
+                return
+            world.after(every_us, one)
+            told, jobs = world.checker.told, world.jobs
+            unfinished = sorted(u for u in world.checker.accepted if told.get(u) not in ("done", "withdrawn"))
+            done = sorted(u for u, s in told.items() if s == "done")
+            kind = world.random.choice(["repeat", "spoilt", "late", *(["new"] if jobs else [])])
+            known = unfinished if kind in ("repeat", "spoilt") else done
+            if kind == "new":
+                uid = f"req-{self.next_odd}"
+                self.next_odd += 1
+                world.odd[uid] = spec = spoilt({**next(iter(jobs.values())), "uid": uid})
+                self.ask("submit", uid, lambda s, b: self._refused(uid, s, b), spec)
+            elif known and kind == "late":
+                uid = world.random.choice(known)
+                world.checker.cancel_asked.add(uid)
+                self.ask("cancel", uid, lambda s, b: world.checker.cancel_answer(uid, s, b))
+            elif known:
+                uid = world.random.choice(known)
+                spec = jobs[uid] if kind == "repeat" else spoilt(jobs[uid])
+                self.ask("submit", uid, lambda s, b: world.checker.submitted(uid, s, b), spec)
+            else:
+                return
+            self._meets(f"odd_{kind}")
+
+        one()
+
+    def _refused(self, uid: str, status: int, body: Any) -> None:
+        self.w().checker.submitted(uid, status, body)
+        if status in (400, 422):
+            self._meets("refused")
+
+    def on_cancel_at_end(self, args: list[str], named: dict[str, Any]) -> None:
+        """cancel_at_end S [share=P]: of the jobs that end, that share is called off at the moment of the end"""
+        world, share = self.w(), float(named.get("share", 1))
+        until_us = world.trouble(float(args[0]))
+
+        def ends(uid: str) -> None:
+            if world.now_us < until_us and world.random.random() < share:
+                self._meets("cancel_at_end")
+                self._cancel_in(uid, world.random.choice([0.0, 0.003, 0.02, 0.3]))
+
+        world.on_end.append(ends)
+
+    def on_cancel_now(self, args: list[str], named: dict[str, Any]) -> None:
+        """cancel_now COUNT [within=S] [hang=S] [by=NAME]: so many jobs that run; their machines hang, eight at most"""
+        world, hang_s = self.w(), float(named.get("hang", 0))
+        within_s, by = float(named.get("within", 0.2)), str(named.get("by", ""))
+        where = world.checker.where
+        running = sorted({t.rpartition("/")[0] for t, places in where.items() if places} - world.checker.cancel_asked,
+                         key=lambda u: (world.jobs[u]["shape"] != "standing", -world.run_s.get(u, 0), u))
+        hung: list[str] = []
+        for uid in running[: int(args[0])]:
+            self._meets("cancel_now")
+            self._cancel_in(uid, world.random.random() * within_s, by)
+            hung += sorted({n for t, places in where.items() if t.startswith(uid + "/") for n in places})
+        for name in list(dict.fromkeys(hung))[:MOST_HUNG] if hang_s else []:
+            self._meets("hung")
+            world.workers[name].hung_until_us = world.trouble(hang_s)
+
+    # What the network does.
+
+    def on_boots(self, args: list[str], named: dict[str, Any]) -> None:
+        """boots S: machines rented from now on are up so soon"""
+        self.w().cloud.boot_us = int(float(args[0]) * US)
+
+    def on_slow_links(self, args: list[str], named: dict[str, Any]) -> None:
+        """slow_links S MOST: every message takes up to so long, between whomever"""
+        world = self.w()
+        world.links_until_us, world.links_us = world.trouble(float(args[0])), int(float(args[1]) * US)
+
+    def on_island(self, args: list[str], named: dict[str, Any]) -> None:
+        """island ZONE NAME S [MODE]: a zone with its workers and that controller is cut off from all else"""
+        world = self.w()
+        until_us = world.trouble(float(args[2]))
+        for label, host in world.hosts.items():
+            host.cut_workers = (until_us, "!" + args[0] if label == args[1] else args[0])
+        inside = world.hosts[args[1]]
+        inside.deaf_peers_until_us, inside.state_cut = until_us, (until_us, args[3] if args[3:] else "held")
+
+    def on_hand_over_unanswered(self, args: list[str], named: dict[str, Any]) -> None:
+        """hand_over_unanswered NAME S: its next hand-over is carried out, the answer is lost, and its watch hangs"""
+        self.w().state.hand_over_lost[args[0]] = int(float(args[1]) * US)
+
+    def check_handed_over(self, args: list[str], named: dict[str, Any]) -> None:
+        """handed_over: that has met"""
+        assert self.w().handed_over_us
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,7 +23,7 @@
 from tests.checker import Checker
 
 US = SECOND
-#: what frames of this network's latency and their milliseconds may make of a moment
+#: what frames of this network's latency and their milliseconds may make of a moment, beside slow links
 LATE_US = 10_000
 
 
@@ -42,21 +42,43 @@
         self.run_s: dict[str, float] = {}
         self.apart_s: dict[str, float] = {}  # each task of a job runs so much longer than the one before
         self.failing: dict[str, int] = {}
+        self.odd: dict[str, dict[str, Any]] = {}  # submissions that can never run or lack a field
+        self.on_news: list[Callable[[str, str], None]] = []  # a user is told of a job what none was told before
+        self.on_end: list[Callable[[str], None]] = []  # a job's last task has completed
+        self.for_next: list[dict[str, Any]] = []  # copies of reports that wait for the next claim of a shard
         self.state = StateStandIn(self)
         self.cloud = CloudStandIn(self)
         self.workers: dict[str, WorkerStandIn] = {}
         self.checker = Checker(self)
         self.reports = 0
+        self.links_us, self.links_until_us = 0, 0  # links are slow until then: what a message takes at the most
+        self.handed_over_us = 0  # a hand-over was carried out, and its answer lost
+        self.kept_came = 0  # copies that arrived as a shard got an owner
         self.killed = 0  # tasks that a worker's own lease ended
         self.hosts = {f"berth-{i}": Controller(self, f"berth-{i}") for i in range(facts["size"])}
         self.log: list[str] = []
+        self._look()
+
+    def _look(self) -> None:
+        self.checker.look()
+        self.after(2 * US, self._look)
 
     def after(self, delay_us: float, action: Callable[[], None]) -> None:
         self.order += 1
         heapq.heappush(self.queue, (self.now_us + max(1, int(delay_us)), self.order, action))
 
     def latency(self) -> int:
-        return self.random.randint(1000, 4000)
+        most_us = self.links_us if self.now_us < self.links_until_us else 4000
+        return self.random.randint(most_us // 4, most_us)
+
+    def claimed(self) -> None:
+        """A shard has an owner anew: old reports that were kept for this arrive at every controller now."""
+        reports, self.for_next = self.for_next, []
+        self.kept_came += len(reports) * len(self.hosts)
+        for report in reports:
+            for host in self.hosts.values():
+                self.after(self.latency(), lambda h=host, r=report: h.worker_reports(
+                    r, lambda status, body: None, copy=True))
 
     def trouble(self, seconds: float) -> int:
         """A trouble begins now and lasts so long; returns its end."""
@@ -93,6 +115,9 @@
         self.down_until_us = 0
         self.refused: dict[str, int] = {}  # controller -> until
         self.late: dict[str, tuple[int, int, int, float]] = {}  # controller -> (until, least, most delay, share)
+        self.unanswered: dict[str, tuple[int, float]] = {}  # controller -> (until, share): done at once, answer lost
+        self.answers_lost = 0
+        self.hand_over_lost: dict[str, int] = {}  # controller -> how long its watch hangs, once a hand-over's answer is lost
         self.slow: dict[str, tuple[int, int]] = {}  # controller -> (until, most that an answer takes)
         self.page_gap_us = 0  # a listing comes in pages, with so long between two of them
         self.puts = 0  # on job records and their parts
@@ -161,6 +186,8 @@
         self.grants_in[self.world.now_us // US] = self.grants_in.get(self.world.now_us // US, 0) + grants
         count = sum(kind in ("job", "part") for kind in kinds)
         self.puts += count
+        if any("hold" in op and op["write"].split("/")[1] == "shard" for op in ops if "write" in op):
+            self.world.claimed()
         now_s = self.world.now_us // US
         self.second[now_s] = self.second.get(now_s, 0) + count
         for op in ops:
@@ -185,6 +212,7 @@
         self.down_until_us = 0
         self.capacity = 10**6
         self.never_boot = 0
+        self.boot_us: int | None = None  # None: as its type says
         self.lost_answers = 0
         self.asked = 0  # rental requests
         self.extra_lag_us = 0  # the list goes back by so much
@@ -226,7 +254,7 @@
                 room = min(body["howMany"], self.capacity - len(self.machines))
                 if room <= 0:
                     return 503, {"error": "no capacity"}
-                boot_us = int(world.types[body["build"]]["startupS"] * US)
+                boot_us = self.boot_us or int(world.types[body["build"]]["startupS"] * US)
                 self.hires[body["hire"]] = [self.start(body["build"], body["yard"], body["loaners"], boot_us)
                                             for _ in range(room)]
             if self.lost_answers > 0:
@@ -262,10 +290,12 @@
         self.cut_until_us = 0
         self.hung_until_us = 0
         self.mute_until_us = 0
+        self.mute_refused = False  # its connections are refused, so it goes on to the next at once; else they hang
         self.slow_do: tuple[int, int, int] = (0, 0, 0)  # until when commands, or their answers, take so long at most
         self.drops = False  # what does not reach it is lost, not held
         self.unheard_until_us = 0  # its reports arrive; no answer, command or question reaches it
         self.copies: tuple[int, int, int] = (0, 0, 0)  # until when its reports come again, how often, how late at most
+        self.for_next_until_us = 0  # a copy of its latest report is kept until a shard has an owner anew
         self.busy = False
         self.changed = True
         self.last_report_us = 0
@@ -363,8 +393,13 @@
                 self.busy = False
                 self._next_node()
 
-        world.after(4 * US, timeout)
         report = self.report()
+        if world.now_us < self.mute_until_us and self.mute_refused:
+            world.after(world.latency(), timeout)
+            return
+        world.after(4 * US, timeout)
+        if world.now_us < self.for_next_until_us:
+            world.for_next = [r for r in world.for_next if r["berth"] != self.name] + [report]
         if world.now_us >= max(self.cut_until_us, self.mute_until_us):
             node = world.hosts[self.node]
             world.after(world.latency(), lambda: node.worker_reports(report, answer))
@@ -457,6 +492,10 @@
                 return
             self.world.checker.completed.add(name)
             self._exit(name, number, "done")
+            uid = name.rpartition("/")[0]
+            if all(f"{uid}/{i}" in self.world.checker.completed for i in range(task["spec"]["picks"])):
+                for ends in self.world.on_end:
+                    ends(uid)
 
     def _exit(self, name: str, number: int, cause: str) -> None:
         task = self.tasks.get(name)
@@ -480,7 +519,7 @@
         self.deaf_in_until_us = 0  # its peers' frames do not reach it, its own reach them
         self.state_cut: tuple[int, str] = (0, "")  # until when it loses the state service, and how: held, reset
         self.watch_hung_until_us = 0  # its watch stays open and brings nothing, while all else is answered
-        self.cut_workers: tuple[int, str] = (0, "")  # until when it is cut from workers; a zone's, or all
+        self.cut_workers: tuple[int, str] = (0, "")  # until when it is cut from workers; a zone's, `!` all others', all
         self.operators = configparser.ConfigParser(interpolation=None)  # its own copy of the operators' file
         self.operators.read_dict(world.operators)
         world.after(10_000, self.start)
@@ -525,7 +564,7 @@
                 if known.at_us > self.world.now_us or (
                         mine is not None and version > (mine.sighting.born, mine.sighting.number)) or (
                         mine is not None and version == (mine.sighting.born, mine.sighting.number)
-                        and not mine.at_us <= known.at_us <= mine.at_us + LATE_US):
+                        and not mine.at_us <= known.at_us <= mine.at_us + LATE_US + self.world.links_us):
                     self.world.checker.breach("hearsay", f"{self.label} knows more of {kind} than {origin} saw")
 
     def _nothing_is_lost(self) -> None:
@@ -628,6 +667,17 @@
                             lambda: world.state.answer("", effect.method, effect.path, body))
                 world.after(effect.timeout_us, lambda: back(0, {}))
                 return
+            until_us, share = world.state.unanswered.get(self.label, (0, 0.0))
+            drops = [op.get("drop", "") for op in body.get("then", [])] if effect.path == "/txn" else []
+            if any(key.startswith("q/shard/") for key in drops) and self.label in world.state.hand_over_lost:
+                self.watch_hung_until_us = world.now_us + world.state.hand_over_lost.pop(self.label)
+                until_us, share = world.now_us + 1, 1.0
+                world.handed_over_us = world.now_us
+            if effect.path == "/txn" and world.now_us < until_us and world.random.random() < share:
+                world.state.answers_lost += 1
+                world.after(world.latency(), lambda: world.state.answer(self.label, effect.method, effect.path, body))
+                world.after(effect.timeout_us, lambda: back(0, {}))
+                return
             until_us, most_us = world.state.slow.get(self.label, (0, 0))
             if world.now_us < until_us:
                 # It waits before it is carried out and after; its sender gives up in between.
@@ -677,7 +727,9 @@
 
     def _is_cut_from(self, worker: Any) -> bool:
         until_us, zone = self.cut_workers
-        return self.world.now_us < until_us and (not zone or (worker is not None and worker.host["yard"] == zone))
+        if self.world.now_us >= until_us or not zone:
+            return self.world.now_us < until_us
+        return worker is not None and (worker.host["yard"] == zone.lstrip("!")) != zone.startswith("!")
 
     # Requests.
 
@@ -696,7 +748,9 @@
         self._request(lambda n: fx.Reported(n, decoded), answer)
 
     def user(self, verb: str, uid: str, answer: Callable[[int, Any], None], spec: Any = None) -> None:
-        decoded = None if spec is None else msgspec.json.decode(json.dumps(spec), type=m.JobSpec)
+        decoded = None if spec is None else m.read_submission(json.dumps(spec).encode())
+        if isinstance(decoded, m.Malformed):
+            verb = "malformed"
         self._request(lambda n: fx.UserRequest(n, verb, uid, decoded), answer)
 
     def ask(self, question: str, answer: Callable[[int, Any], None]) -> None:
