A shard on its way to another owner starts nothing until the hand-over has failed for certain

Cause: an owner that hands a shard back went on launching in it until the answer to that write came. Where the write is carried out and its answer is lost, and the watch is slow, the next owner has claimed the shard while the one before is still entitled for up to its lease. Change: Ownership.leaving. From before the write is sent nothing is launched in that shard (entitled(shard)), until it has failed for certain; without an answer it is sent again until it is done or its condition fails. Workers are answered as before.

--- a/quinceslip/coordination/commands.py
+++ b/quinceslip/coordination/commands.py
@@ -102,7 +102,7 @@
     def send_direct(self) -> None:
         """Tell workers at once what cannot wait for their next report."""
         state = self.state
-        if not state.to_tell or not state.ownership.entitled():
+        if not state.to_tell or not state.ownership.entitled(state.index):
             return
         for name in sorted(state.to_tell):
             worker = state.workers.get(name)
@@ -177,7 +177,7 @@
                     worker.next_probe_us = self.ctx.now_us
                 self.state.alarm = self.state.alarm or worker.hearing.deaf >= PROBES
             else:
-                if worker.token < self.state.term and not worker.busy and self.state.ownership.entitled():
+                if worker.token < self.state.term and not worker.busy and self.state.ownership.entitled(self.state.index):
                     # An empty command shows it our term now; its report would take seconds.
                     self._direct(worker, [], [])
 
--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from quinceslip.coordination.context import SECOND, Context
-from quinceslip.coordination.effects import Urgency
+from quinceslip.coordination.effects import NOT_SENT, Urgency
 from quinceslip.protocol import messages
 from quinceslip.storage import records
 
@@ -36,6 +36,8 @@
         self.claiming = False
         self.next_claim_us = 0
         self.absent_since: dict[int, int] = {}
+        self.leaving: dict[int, bool] = {}  # shards on their way to another owner; whether that may have happened already
+        self.next_give_back_us = 0
         self.aside = False  # it does not reach its workers: others go first
 
     # What the node may do now.
@@ -45,10 +47,15 @@
         # of a cancellation. A watch that hangs while renewals succeed must not pass for contact.
         return min(self.lease_sent_us, self.watch_sent_us)
 
-    def entitled(self) -> bool:
-        """May launch and decide: the lease cannot have lapsed yet."""
+    def entitled(self, shard: int | None = None) -> bool:
+        """May launch and decide: the lease cannot have lapsed yet, and the shard, where one is named, is not on its way.
+
+        Guard: from before a hand-over is sent until it has failed for certain, nothing starts in that shard. Its answer
+        may be lost while the next owner has read it: what came to the shard since is new to both, and both would start
+        it. What was there before, the next owner inherits as unknown.
+        """
         lasts = int(self.ctx.timing.owner_lease_us * 0.95) - 50_000
-        return self.lease is not None and self.ctx.now_us < self._confirmed_us() + lasts
+        return self.lease is not None and self.ctx.now_us < self._confirmed_us() + lasts and shard not in self.leaving
 
     def answering(self) -> bool:
         """May still answer the workers of its shards (grace)."""
@@ -74,6 +81,8 @@
             # A claim whose answer never came may have been applied: its stamp is not ours.
             for shard in [s for s in self.stamps if ctx.view.stamp(records.shard_key(s)) != self.stamps[s]]:
                 self._drop(shard)
+            if self.leaving and ctx.now_us >= self.next_give_back_us:
+                self.give_back(next(iter(self.leaving)))  # until its outcome is certain
         if self.lease is not None and ctx.view.loaded and not self.claiming \
                 and ctx.now_us >= self.next_claim_us and self.entitled():
             self._claim_one()
@@ -121,6 +130,7 @@
     def _drop(self, shard: int) -> None:
         self.terms.pop(shard, None)
         self.stamps.pop(shard, None)
+        self.leaving.pop(shard, None)
         self.lost(shard)
 
     # Claims.
@@ -201,11 +211,21 @@
         if self.claiming or shard not in self.stamps:
             return
         self.claiming = True
+        self.leaving.setdefault(shard, False)
+        self.next_give_back_us = self.ctx.now_us + SECOND // 2
 
         def done(status: int, failed: list[str]) -> None:
             self.claiming = False
-            if status == 200 and shard in self.terms:
+            if shard not in self.terms:
+                return
+            if status == 200:
                 log.info("shard %d is handed over", shard)
                 self._drop(shard)
+            elif status in (NOT_SENT, 400, 429, 503) and not self.leaving.get(shard):
+                self.leaving.pop(shard, None)  # no attempt of it can be carried out any more
+            else:
+                # Carried out without an answer, or to be: it goes on, until it is done or its condition fails. Where
+                # that has failed, the record has changed, and the watch is about to say so.
+                self.leaving[shard] = True
 
         self.ctx.txn(self.condition(shard), {}, [records.shard_key(shard)], done, Urgency.USER)
--- a/quinceslip/coordination/packing.py
+++ b/quinceslip/coordination/packing.py
@@ -37,7 +37,7 @@
     def pack(self, shard: Shard, reserve_cpus: float) -> None:
         """Called each second; `reserve_cpus` must stay free for services that are expected."""
         emptying = [w for w in shard.workers.values() if w.draining == PACKING]
-        if shard.unresolved or shard.waiting() or not self.ownership.entitled():
+        if shard.unresolved or shard.waiting() or not self.ownership.entitled(shard.index):
             for worker in emptying:
                 worker.draining = ""
                 shard.dirty = True
--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -92,7 +92,7 @@
 
     def plan(self) -> None:
         """Place waiting tasks: priority first, then first come, first served."""
-        if not self.state.dirty or not self.state.ownership.entitled():
+        if not self.state.dirty or not self.state.ownership.entitled(self.state.index):
             return
         self.state.dirty = False
         queue = self.state.ordered()
@@ -108,7 +108,7 @@
 
     def fill(self, worker: Worker) -> None:
         """Place waiting tasks on one worker that has room again."""
-        if self.state.dirty or not self.state.ownership.entitled() or not self.usable(worker):
+        if self.state.dirty or not self.state.ownership.entitled(self.state.index) or not self.usable(worker):
             return
         if worker.name in self.patience.kept:
             self.state.dirty = True  # whom it is kept for may need more than this machine
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -122,7 +122,7 @@
         if not worker.armed:
             self.to_arm.add(worker.name)
         self.placement.fill(worker)
-        reply = m.CommandReply(self.term, self.commander.orders(worker, self.ownership.entitled()))
+        reply = m.CommandReply(self.term, self.commander.orders(worker, self.ownership.entitled(self.index)))
         worker.hearing.told(report, self.term, reply.commands)
         return reply
 
@@ -140,7 +140,7 @@
                    if w is not None and not w.armed and w.name in roster]
         self.to_arm = {w.name for w in workers}
         fresh = [w for w in workers if not w.arming][: self.ctx.settings.facts.state.txn_ops]
-        if not fresh or not self.ownership.entitled():
+        if not fresh or not self.ownership.entitled(self.index):
             return
         for worker in fresh:
             worker.arming = True
--- a/quinceslip/quota/bench.py
+++ b/quinceslip/quota/bench.py
@@ -31,7 +31,7 @@
 
     stamps: dict[int, int] = {0: 0}
 
-    def entitled(self) -> bool:
+    def entitled(self, shard: int | None = None) -> bool:
         return True
 
     def claim(self, shard: int, above: int = 0) -> None:
--- a/quinceslip/quota/meter.py
+++ b/quinceslip/quota/meter.py
@@ -107,7 +107,7 @@
         for name in [n for n in self.strange if n not in state.workers or state.workers[n].lost]:
             self.strange.discard(name)
         stamp = state.ownership.stamps.get(state.index, UNLIMITED)
-        return state.ownership.entitled() and may_start(not state.unresolved and not self.strange,
+        return state.ownership.entitled(state.index) and may_start(not state.unresolved and not self.strange,
                                                         state.ctx.view.ledger >= stamp)
 
     def limit(self, level: int) -> Amounts:
