--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.test_random_days import days, tenths
+from tests.test_random_days import OWNERS, days, tenths
 from tests.test_scenarios import play
 
 Draw = st.DrawFn
@@ -129,12 +129,131 @@
     return lines
 
 
+# Those of the second page.
+
+
+def limits(draw: Draw, at_s: float) -> list[str]:
+    """A team is at its limit; jobs of it are cancelled whose machines are cut off or hang, and the leader changes."""
+    hang_s = draw(st.sampled_from([0, 5, 9, 20]))
+    trouble = draw(st.sampled_from(["cut third 14 lost", "cut busiest 20", "hang third 9", "unheard third 20",
+                                    "mute third 20", "unheard zone:a 14 lost"]))
+    lines = [f"at {max(2.3, at_s - 4):.2f} submit NEW tasks=8 run=200 team=capped",
+             f"at {max(2.3, at_s - 4):.2f} submit NEW tasks=4 run=90 team=capped",
+             f"at {at_s - 1:.2f} submit NEW tasks=20 run=3 team=capped rank={draw(st.sampled_from(['low', 'normal']))}",
+             f"at {at_s + draw(tenths(0, 3)):.2f} {trouble}",
+             f"at {at_s + draw(tenths(0, 3)):.2f} cancel_now {draw(st.integers(1, 4))} hang={hang_s}",
+             f"at {at_s + draw(tenths(0, 4)):.2f} crash {draw(OTHERS)} berth-0 back={draw(BACK) * 4}"]
+    return [*lines, f"at {at_s + draw(tenths(4, 14)):.2f} cancel_now 2 by={draw(OTHERS)}"]
+
+
+def looks(draw: Draw, at_s: float) -> list[str]:
+    """Users look closely and send odd requests; jobs are called off at their end or at once, some by many."""
+    lines = [f"at {at_s:.2f} close_looks 20 cancel={draw(st.sampled_from([0, 0.2]))}", f"at {at_s:.2f} odd_requests 20",
+             f"at {at_s:.2f} cancel_at_end 20 share={draw(st.sampled_from([0.3, 1.0]))}"]
+    return lines + [f"at {at_s + draw(tenths(0, 15)):.2f} submit NEW tasks={draw(st.integers(1, 3))} run=1 "
+                    f"apart={draw(st.sampled_from([0, 2]))}" for _ in range(8)]
+
+
+def muted(draw: Draw, at_s: float) -> list[str]:
+    """Machines reach no controller, while direct commands reach them; jobs on them are cancelled."""
+    who = draw(st.sampled_from(["third", "busiest", "zone:a", "all"]))
+    lines = [f"at {at_s:.2f} mute {who} {draw(st.sampled_from([5, 12, 30]))} {draw(st.sampled_from(['', 'refused']))}",
+             f"at {at_s + draw(tenths(0, 4)):.2f} cancel_now 2 hang={draw(st.sampled_from([0, 6]))}"]
+    return [*lines, f"at {at_s + draw(tenths(0, 12)):.2f} crash berth-0 back={draw(BACK)}"]
+
+
+def unanswered(draw: Draw, at_s: float) -> list[str]:
+    """Transactions are carried out at once and only their answers are lost, while others read what they wrote."""
+    return [f"at {at_s:.2f} late {draw(st.sampled_from(['all', 'berth-0', 'berth-1']))} "
+            f"{draw(st.sampled_from([5, 15, 30]))} at_once share={draw(st.sampled_from([0.2, 0.5, 1.0]))}",
+            *cancels(draw, at_s + 2), f"at {at_s + draw(tenths(0, 9)):.2f} submit NEW tasks=4 run=3",
+            f"at {at_s + draw(tenths(0, 9)):.2f} crash {draw(st.sampled_from(OWNERS[:2]))} back={draw(BACK)}"]
+
+
+def for_the_next(draw: Draw, at_s: float) -> list[str]:
+    """Old reports are kept and reach every controller just as a new leader begins."""
+    trouble = draw(st.sampled_from(["reboot third other", "reboot busiest", "take busiest notice=0",
+                                    "cut third 14 lost", "unheard third 14", "hang zone:a 9"]))
+    return [f"at {max(2.5, at_s - 4):.2f} copies all {draw(st.sampled_from([1, 4, 12]))} for_next",
+            f"at {at_s + draw(tenths(-2, 3)):.2f} {trouble}", *cancels(draw, at_s),
+            f"at {at_s + draw(tenths(0, 6)):.2f} crash berth-0 back={draw(BACK)}",
+            f"at {at_s + draw(tenths(6, 14)):.2f} crash {draw(OTHERS)} berth-0 back={draw(BACK)}"]
+
+
+def fresh(draw: Draw, at_s: float) -> list[str]:
+    """New machines are up within two seconds and get work at once while writes lag, and the leader ends."""
+    how = draw(st.sampled_from(["12 at_once share=0.5", "12 1 4 share=0.6", "8 2 12 share=1.0"]))
+    return [f"at {max(2.1, at_s - 2):.2f} boots {draw(st.sampled_from([0.3, 1, 2]))}",
+            f"at {at_s:.2f} late {draw(st.sampled_from(['berth-0', 'berth-1']))} {how}",
+            f"at {at_s:.2f} cloud lost_answers {draw(st.integers(0, 2))}",
+            f"at {at_s + 1:.2f} submit NEW tasks=40 run=5 rank=urgent",
+            f"at {at_s + draw(tenths(1, 5)):.2f} crash berth-0 back={draw(BACK)}",
+            f"at {at_s + draw(tenths(2, 9)):.2f} take zone:{draw(st.sampled_from('ab'))} notice=0"]
+
+
+def hands(draw: Draw, at_s: float) -> list[str]:
+    """Jobs are cancelled in the seconds in which one controller's work changes hands."""
+    lines = [f"at {at_s:.2f} crash berth-0 back={draw(st.sampled_from([0.3, 5, 9]))}"]
+    if draw(st.booleans()):
+        lines.append(f"at {max(2.1, at_s - 1):.2f} page_gap {draw(st.sampled_from([0.05, 0.3]))}")
+    for _ in range(draw(st.integers(2, 5))):
+        lines += cancels(draw, at_s + draw(tenths(0, 5)), 1)
+        lines.append(f"at {at_s + draw(tenths(0, 5)):.2f} cancel_now 1 hang={draw(st.sampled_from([0, 9]))}")
+    return [*lines, f"at {at_s + draw(tenths(3, 9)):.2f} crash {draw(OTHERS)} back={draw(BACK)}"]
+
+
+def island(draw: Draw, at_s: float) -> list[str]:
+    """A zone with its workers and a controller is cut off from all else, mostly for longer than a lease."""
+    how = draw(st.sampled_from(["held", "reset"]))
+    return [f"at {at_s:.2f} island {draw(st.sampled_from('ab'))} berth-0 {draw(st.sampled_from([6, 14, 30]))} {how}",
+            *cancels(draw, at_s + 2),
+            f"at {at_s + draw(tenths(0, 9)):.2f} submit NEW tasks=4 run=3 by={draw(OTHERS)}"]
+
+
+def leaders(draw: Draw, at_s: float) -> list[str]:
+    """Leaders change again and again, all of them at times, and inside an outage."""
+    lines = [f"at {at_s + 9:.2f} outage state {draw(st.sampled_from([6, 20]))}"] if draw(st.booleans()) else []
+    for _ in range(draw(st.integers(4, 10))):
+        who = draw(st.sampled_from(["berth-0", "berth-1", "berth-2", "berth-0 berth-1", "berth-0 berth-1 berth-2"]))
+        lines.append(f"at {at_s:.2f} crash {who} back={draw(st.sampled_from([0.3, 2, 4, 9]))}")
+        at_s += draw(tenths(1, 12))
+    return lines
+
+
+def crowd(draw: Draw, at_s: float) -> list[str]:
+    """More work than room, urgent and not, over slow links."""
+    return [f"at {at_s:.2f} slow_links {draw(st.sampled_from([10, 30]))} {draw(st.sampled_from([0.1, 0.4, 0.8]))}",
+            f"at {at_s + 1:.2f} submit NEW tasks=60 run=4 rank=low checkpoint=2 save=0.2",
+            *(f"at {at_s + 2 + n:.2f} submit NEW tasks=4 run=3 rank=urgent" for n in range(6)),
+            f"at {at_s + 3:.2f} submit NEW service tasks=4 spread=true spot=false rank=production",
+            *cancels(draw, at_s + 4)]
+
+
+def singles(draw: Draw, at_s: float) -> list[str]:
+    """One-task jobs come four a second, a quarter of them cancelled."""
+    return [f"at {at_s:.2f} submit_many 2000 {draw(st.sampled_from([40, 100]))} every=0.25 tasks=1 run=4 poll=6 "
+            f"off={draw(st.sampled_from([0.05, 1, 4]))}"]
+
+
+def one_zone(draw: Draw, at_s: float) -> list[str]:
+    """Jobs bound to one zone, arrays too, lose machines, or the zone."""
+    trouble = draw(st.sampled_from(["take zone:a", "take zone:b", "cut zone:a 14", "cut zone:b 6 lost", "hang zone:a 9",
+                                    "hang zone:b 14", "reboot zone:a", "reboot busiest other"]))
+    bound = draw(st.sampled_from(["tasks=12", "gang tasks=3"]))
+    return [f"at {max(2.3, at_s - 4):.2f} submit NEW tasks=12 run=9 zone=a",
+            f"at {max(2.3, at_s - 4):.2f} submit NEW {bound} run=9 together=true", f"at {at_s:.2f} {trouble}",
+            f"at {at_s + draw(tenths(0, 6)):.2f} crash berth-0 back={draw(BACK)}"]
+
+
+SECOND_PAGE: list[Callable[[Draw, float], list[str]]] = [
+    limits, looks, muted, unanswered, for_the_next, fresh, hands, island, leaders, crowd, singles, one_zone]
 MEETINGS: list[Callable[[Draw, float], list[str]]] = [
-    gap, slow, cut_leader, change, old_reports, unreached, commands, late, back]
+    gap, slow, cut_leader, change, old_reports, unreached, commands, late, back, *SECOND_PAGE]
 
 
 def day(draw: Draw, meetings: list[Callable[[Draw, float], list[str]]]) -> str:
     lines = [f"seed {draw(st.integers(1, 10**6))}", f"site size={draw(st.sampled_from([2, 3, 3]))}",
+             "team capped cpus_max=24",
              f"machines {draw(st.integers(3, 6))} m a", f"machines {draw(st.integers(3, 6))} m b",
              "at 0 cloud capacity 14",
              "at 1 submit req-000001 tasks=60 run=40 rank=low checkpoint=5 save=0.5",
@@ -163,6 +282,18 @@
     return day(draw, [gap])
 
 
+@st.composite
+def second_page(draw: Draw) -> str:
+    """One of the second page, with one of either page beside it."""
+    return day(draw, [draw(st.sampled_from(SECOND_PAGE)), draw(st.sampled_from(MEETINGS))])
+
+
+@given(second_page())
+@days
+def test_the_second_page(text: str) -> None:
+    play(text)
+
+
 @given(gaps())
 @days
 def test_the_gap(text: str) -> None:
