--- a/quinceslip/coordination/commands.py
+++ b/quinceslip/coordination/commands.py
@@ -177,7 +177,8 @@
                     worker.next_probe_us = self.ctx.now_us
                 self.state.alarm = self.state.alarm or worker.hearing.deaf >= PROBES
             else:
-                if worker.token < self.state.term and not worker.busy and self.state.ownership.entitled(self.state.index):
+                state = self.state
+                if worker.token < state.term and not worker.busy and state.ownership.entitled(state.index):
                     # An empty command shows it our term now; its report would take seconds.
                     self._direct(worker, [], [])
 
--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -36,7 +36,7 @@
         self.claiming = False
         self.next_claim_us = 0
         self.absent_since: dict[int, int] = {}
-        self.leaving: dict[int, bool] = {}  # shards on their way to another owner; whether that may have happened already
+        self.leaving: dict[int, bool] = {}  # shards on their way to another owner; whether that may be done already
         self.next_give_back_us = 0
         self.aside = False  # it does not reach its workers: others go first
 
@@ -55,7 +55,7 @@
         it. What was there before, the next owner inherits as unknown.
         """
         lasts = int(self.ctx.timing.owner_lease_us * 0.95) - 50_000
-        return self.lease is not None and self.ctx.now_us < self._confirmed_us() + lasts and shard not in self.leaving
+        return shard not in self.leaving and self.lease is not None and self.ctx.now_us < self._confirmed_us() + lasts
 
     def answering(self) -> bool:
         """May still answer the workers of its shards (grace)."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -117,7 +117,7 @@
         self.late: dict[str, tuple[int, int, int, float]] = {}  # controller -> (until, least, most delay, share)
         self.unanswered: dict[str, tuple[int, float]] = {}  # controller -> (until, share): done at once, answer lost
         self.answers_lost = 0
-        self.hand_over_lost: dict[str, int] = {}  # controller -> how long its watch hangs, once a hand-over's answer is lost
+        self.hand_over_lost: dict[str, int] = {}  # controller -> how long its watch hangs then
         self.slow: dict[str, tuple[int, int]] = {}  # controller -> (until, most that an answer takes)
         self.page_gap_us = 0  # a listing comes in pages, with so long between two of them
         self.puts = 0  # on job records and their parts
