--- a/quinceslip/coordination/ownership.py
+++ b/quinceslip/coordination/ownership.py
@@ -36,7 +36,7 @@
         self.claiming = False
         self.next_claim_us = 0
         self.absent_since: dict[int, int] = {}
-        self.leaving: dict[int, bool] = {}  # shards on their way to another owner; whether that may be done already
+        self.leaving: dict[int, bool] = {}  # shards on their way to another owner; whether it may be done
         self.next_give_back_us = 0
         self.aside = False  # it does not reach its workers: others go first
 
@@ -48,7 +48,7 @@
         return min(self.lease_sent_us, self.watch_sent_us)
 
     def entitled(self, shard: int | None = None) -> bool:
-        """May launch and decide: the lease cannot have lapsed yet, and the shard, where one is named, is not on its way.
+        """May launch and decide: the lease cannot have lapsed yet, and the shard, if one is named, is not on its way.
 
         Guard: from before a hand-over is sent until it has failed for certain, nothing starts in that shard. Its answer
         may be lost while the next owner has read it: what came to the shard since is new to both, and both would start
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -245,8 +245,21 @@
             f"at {at_s + draw(tenths(0, 6)):.2f} crash berth-0 back={draw(BACK)}"]
 
 
+def handed_over(draw: Draw, at_s: float) -> list[str]:
+    """A shard goes home and the hand-over's answer is lost, while new work comes; its home reaches one zone alone."""
+    one = draw(OTHERS)
+    lines = [f"at {at_s:.2f} crash {one} back={draw(st.sampled_from([5, 10]))}",
+             f"at {at_s + 12:.2f} submit NEW tasks=300 run=2 rank=low",
+             f"at {at_s + 14:.2f} hand_over_unanswered berth-0 {draw(st.sampled_from([0.5, 1.9, 5]))}",
+             f"at {at_s + 14:.2f} hand_over_unanswered berth-1 {draw(st.sampled_from([0.5, 1.9, 5]))}",
+             f"at {at_s + 14:.2f} cut_workers {one} 30 zone={draw(st.sampled_from('ab'))}",
+             f"at {at_s + 14:.2f} submit_many 3000 60 every=0.25 by=berth-0 tasks=1 run=3 rank=production"]
+    return [*lines, f"at {at_s + draw(tenths(20, 45)):.2f} {draw(st.sampled_from(['hang third 9', 'take busiest']))}"]
+
+
 SECOND_PAGE: list[Callable[[Draw, float], list[str]]] = [
-    limits, looks, muted, unanswered, for_the_next, fresh, hands, island, leaders, crowd, singles, one_zone]
+    limits, looks, muted, unanswered, for_the_next, fresh, hands, island, leaders, crowd, singles, one_zone,
+    handed_over]
 MEETINGS: list[Callable[[Draw, float], list[str]]] = [
     gap, slow, cut_leader, change, old_reports, unreached, commands, late, back, *SECOND_PAGE]
 
