Jobs that wait for others: a graph derived from the records, withdrawals that follow from it, urgency that flows backward

Need: users submit pipelines whose last job alone has a deadline and a priority (waitsOn). Change: package pipelines/. graph.py derives from the job records who waits, who is withdrawn and how urgent what comes before is; what waits is no chunk of any shard, so it counts nowhere, and becomes an arrival when the last record it needs was seen as done. spreading.py writes the final record of each job behind a withdrawn one, one by one. Users check what is named behind the read that every final answer needs. A chunk is treated with the priority and due times of what needs it; final records say when they ended, so that times count from then.

--- a/quinceslip/coordination/balancing.py
+++ b/quinceslip/coordination/balancing.py
@@ -8,6 +8,7 @@
 from quinceslip.coordination.context import SECOND, Context, micros
 from quinceslip.coordination.ownership import Ownership
 from quinceslip.coordination.shard import Shard
+from quinceslip.coordination.state import Chunk
 from quinceslip.protocol import frames
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
@@ -173,6 +174,19 @@
         chosen = balance.choose_shard(home, stations, waiting, self.levels)
         return chosen if chosen in owned else home
 
+    def arrives(self, shard: Shard, chunk: Chunk) -> None:
+        """A job that waited for others is ready: an arrival at its shard, which hands it on as the paper forwards."""
+        self.accepted(chunk.spec)
+        indices = shard.recorder.movable(chunk)
+        if not indices or not self.ownership.entitled(shard.index):
+            return
+        stations, waiting, _ = self._stations()
+        waiting[shard.index] -= len(indices)
+        owned = {s: st for s, st in stations.items() if self.ownership.owner(s)}
+        chosen = balance.choose_shard(shard.index, owned, waiting, self.levels)
+        if chosen != shard.index and chosen in owned:
+            shard.recorder.move(chunk, indices, chosen)
+
     def _move_services(self, shard: Shard) -> None:
         """Services that find no place here go where lower priorities can make room for them."""
         reported = {load.shard: load for load in self.peer_loads()}
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from quinceslip.coordination.effects import UNKNOWN, Answer, Call, Effect, Reply, Urgency
+from quinceslip.pipelines.graph import Graph
+from quinceslip.pipelines.graph import Urgency as JobUrgency
 from quinceslip.protocol import messages
 from quinceslip.protocol.settings import Settings, SettingsError, Team, Tuning
 from quinceslip.standstill import notes
@@ -23,6 +25,8 @@
 LONGEST_S = 86_400
 #: workers drop the answer to a report after this long (PROTOCOL)
 REPORT_WAIT_US = 4 * SECOND
+#: estimates are often wrong by half: a way is planned so much longer than they say
+WAY_PART = 1.5
 
 Done = Callable[[int, bytes], None]
 TxnDone = Callable[[int, list[str]], None]
@@ -78,6 +82,7 @@
         self.tuning = tuning
         self.timing = Timing(settings)
         self.view = View()
+        self.graph = Graph(self.view.job, self._urgency, self._way_us)
         self.out: list[Effect] = []
         self.now_us = now_us
         self.wall_offset_us = wall_us - now_us
@@ -94,6 +99,20 @@
         self.part = ""  # of the tick, while it runs: where the actor is, for whoever sees it stand still
         self.keys_synced = 0
 
+    # What the graph of jobs asks: as it is before anything runs, by the estimates of the jobs' owners.
+
+    def _urgency(self, spec: messages.JobSpec, at_us: int) -> JobUrgency:
+        """A job's own; its due times that count from its submission alone, since the others start with it."""
+        dues = [] if spec.deadline_s is None else sorted({spec.deadline_s, *(
+            spec.deadline_s * o.times for o in self.settings.facts.objectives
+            if o.kind == "deadline" and o.job_class == spec.job_class)})
+        return JobUrgency(spec.priority, tuple(at_us + micros(due_s) for due_s in dues))
+
+    def _way_us(self, spec: messages.JobSpec) -> int:
+        """How long a job takes once it may start: its image, its tasks, the writes at both ends."""
+        rate = min((t.fetch_gb_per_s for t in self.types.values()), default=1.0)
+        return micros(WAY_PART * spec.estimate_s + spec.image_gb / max(rate, 0.01)) + 2 * SECOND
+
     @property
     def wall_us(self) -> int:
         return self.now_us + self.wall_offset_us
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -25,6 +25,7 @@
 from quinceslip.coordination.shard import Shard
 from quinceslip.coordination.subsystem import Maker
 from quinceslip.coordination.users import Users
+from quinceslip.pipelines.spreading import Spreader
 from quinceslip.protocol import frames
 from quinceslip.protocol import messages as m
 from quinceslip.protocol.settings import Settings, Tuning
@@ -51,6 +52,7 @@
         self.balancer = Balancer(self.ctx, self.ownership, self.shards)
         self.provision = Provisioner(self.ctx, self.ownership, self.shards)
         self.provision.quick_rooms = self.balancer.quick_rooms
+        self.spreader = Spreader(self.ctx, self.ctx.graph, self.ownership.owns)
         self.users = Users(self.ctx, self.shards, self.balancer, self.subsystems)
         self.reach = Reach(self.ctx, self.home)
         self.next_beat_us = 0
@@ -100,6 +102,9 @@
     # The view.
 
     def _changed(self, keys: Iterable[str]) -> None:
+        keys = list(keys)
+        # First who waits for whom: whether a job may start rests on the records of others in the same batch.
+        pipelines = self.ctx.graph.changed([name for kind, name in map(records.View.split, keys) if kind == "job"])
         for key in keys:
             self.ctx.keys_synced += 1
             kind, name = records.View.split(key)
@@ -124,6 +129,19 @@
                 for subsystem in self.subsystems:
                     if kind in subsystem.kinds:
                         subsystem.changed(kind, name)
+        for uid in pipelines.ready:
+            self._ready(uid)
+        for uid in pipelines.urged:
+            for shard in self.shards.values():
+                shard.recorder.urged(uid)
+
+    def _ready(self, uid: str) -> None:
+        """A job waits for no other any more: now it arrives, as by the paper's model."""
+        for shard in self.shards.values():
+            shard.recorder.sync(uid)
+            chunk = shard.chunks.get(uid)
+            if chunk is not None:
+                self.balancer.arrives(shard, chunk)
 
     def _gained(self, index: int, term: int, own_before: int) -> None:
         known = self.shards.get(index)
@@ -146,7 +164,8 @@
         for name, part in (("rights", self.ownership.tick), ("shards", self._tick_shards),
                            ("machines", self.provision.tick), ("beat", self._tick_beat),
                            ("balance", self.balancer.tick), ("peers", self._tick_seldom),
-                           *((type(s).__name__, s.tick) for s in self.subsystems), ("users", self.users.tick)):
+                           *((type(s).__name__, s.tick) for s in self.subsystems), ("users", self.users.tick),
+                           ("withdrawals", self.spreader.tick)):
             self.ctx.part = name
             try:
                 part()
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -1,6 +1,7 @@
 """Keeps the chunks of a shard and their records in the state service in line with each other."""
 
 import logging
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -10,6 +11,7 @@
 from quinceslip.coordination.state import Attempt, Chunk, ShardState
 from quinceslip.mistakes.trial import Trial
 from quinceslip.protocol import messages as m
+from quinceslip.protocol.settings import Objective
 from quinceslip.storage import records, tasksets
 
 log = logging.getLogger(__name__)
@@ -22,6 +24,22 @@
 AGAIN_US = 250_000
 
 
+def due_us(objectives: Iterable[Objective], spec: m.JobSpec, at_us: int, began_us: int) -> list[int]:
+    """When the users want a job done: its own deadline and its multiples since `at_us`, when it was submitted; the aims
+    of its class since `began_us`, when it waited for no other job any more."""
+    if spec.service:
+        return []
+    dues = set() if spec.deadline_s is None else {at_us + micros(spec.deadline_s)}
+    for objective in objectives:
+        if objective.job_class != spec.job_class:
+            continue
+        if objective.kind == "finished" and objective.within_s:
+            dues.add(began_us + micros(objective.within_s))
+        elif objective.kind == "deadline" and spec.deadline_s is not None:
+            dues.add(at_us + micros(spec.deadline_s * objective.times))
+    return sorted(dues)
+
+
 class Recorder:
     def __init__(self, state: ShardState) -> None:
         self.state = state
@@ -39,14 +57,16 @@
         record = view.chunk(state.index, uid)
         job = view.job(uid)
         chunk = state.chunks.get(uid)
-        if record is None or job is None or job.spec is None:
+        # Guard: what waits for other jobs is no chunk at all, so nothing here can count, order, move or start it.
+        if record is None or job is None or job.spec is None or self.ctx.graph.waits(uid):
             if chunk is not None:
                 del state.chunks[uid]
                 self.open.discard(uid)
                 self._end_job(chunk)
             return
         if chunk is None:
-            chunk = state.chunks[uid] = Chunk(uid, job.spec, job.at_us, due_us=self._due_us(job.spec, job.at_us),
+            spec, due_us = self._treated(uid, job.spec, job.at_us)
+            chunk = state.chunks[uid] = Chunk(uid, spec, max(job.at_us, self.ctx.graph.ready_us(uid)), due_us=due_us,
                                               trial=Trial(self.ctx.tuning.suspect_mistakes))
             if not inherited:
                 self.arrived += 1
@@ -78,19 +98,21 @@
             state.chunks.pop(uid)
         self._finalise(uid)
 
-    def _due_us(self, spec: m.JobSpec, at_us: int) -> list[int]:
-        """When the users want a job done: its own deadline and its multiples, the aims of its class."""
-        if spec.service:
-            return []
-        dues_s = set() if spec.deadline_s is None else {spec.deadline_s}
-        for objective in self.ctx.settings.facts.objectives:
-            if objective.job_class != spec.job_class:
-                continue
-            if objective.kind == "finished" and objective.within_s:
-                dues_s.add(objective.within_s)
-            elif objective.kind == "deadline" and spec.deadline_s is not None:
-                dues_s.add(spec.deadline_s * objective.times)
-        return [at_us + micros(d) for d in sorted(dues_s)]
+    def _treated(self, uid: str, spec: m.JobSpec, at_us: int) -> tuple[m.JobSpec, list[int]]:
+        """A job as it is to be treated, with the priority of what needs it, and when it should be done."""
+        urgency, began_us = self.ctx.graph.urgency(uid), max(at_us, self.ctx.graph.ready_us(uid))
+        dues = set(due_us(self.ctx.settings.facts.objectives, spec, at_us, began_us))
+        if urgency is None:
+            return spec, sorted(dues)
+        return m.with_priority(spec, min(spec.priority, urgency.rank)), sorted(dues | set(urgency.dues_us))
+
+    def urged(self, uid: str) -> None:
+        """What needs a job has changed: it is treated accordingly from here on; what runs of it stays as it is."""
+        chunk, job = self.state.chunks.get(uid), self.ctx.view.job(uid)
+        if chunk is not None and job is not None and job.spec is not None:
+            chunk.treat(*self._treated(uid, job.spec, job.at_us))
+            self.state.reorder()
+            self.state.dirty = True
 
     def _end_job(self, chunk: Chunk) -> None:
         job = self.ctx.view.job(chunk.uid)
@@ -191,7 +213,8 @@
         view, uid = self.ctx.view, chunk.uid
         parts = [records.part_key(s, uid) for s in job.parts]
         conditions = {key: view.stamp(key) for key in [records.job_key(uid), *parts]}
-        self._write(chunk, conditions, {records.job_key(uid): (records.final_record(job, m.DONE, count), None)},
+        final = records.final_record(job, m.DONE, count, self.ctx.wall_us)
+        self._write(chunk, conditions, {records.job_key(uid): (final, None)},
                     [p for p in parts if view.stamp(p)], Urgency.USER)
 
     # Moves between shards.
--- a/quinceslip/coordination/state.py
+++ b/quinceslip/coordination/state.py
@@ -196,7 +196,11 @@
     bounds: tuple[object, ...] = ()  # what besides their size binds its tasks to machines
 
     def __post_init__(self) -> None:
-        spec = self.spec
+        self.treat(self.spec, self.due_us)
+
+    def treat(self, spec: m.JobSpec, due_us: list[int]) -> None:
+        """Its job as it is to be treated from here on: with the priority and due times of what needs it."""
+        self.spec, self.due_us = spec, due_us
         self.priority = spec.priority
         self.bounds = (self.priority, spec.team, spec.spot, spec.zone, tuple(spec.types) if spec.types else None)
         self.shape = (*self.bounds, spec.service, spec.one_zone or spec.spread, spec.cpus, spec.gpus, spec.memory_gb)
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -34,6 +34,7 @@
     since_us: int
     then: str = "status"
     absent: tuple[int, object] = (404, {"error": "no such job"})
+    spec: m.JobSpec | None = None  # what to submit once the read is known
 
 
 class Users:
@@ -74,12 +75,18 @@
         else:
             self._cancel(request.request, request.uid, 3)
 
+    def pipelines_open(self) -> bool:
+        """Whether every controller knows of jobs that wait for others."""
+        return True
+
     def _unavailable(self, request: int) -> None:
         self.ctx.reply(request, 503, {"error": "cannot decide yet"}, **{"Retry-After": "1"})
 
     def _status(self, uid: str, job: records.JobRecord) -> dict[str, object]:
         if records.is_final(job):
             return m.job_answer(uid, job.state, job.done, 0)
+        if self.ctx.graph.is_withdrawn(uid):
+            return m.job_answer(uid, m.WITHDRAWN, 0, 0)
         chunks = [s.chunks[uid] for s in self.shards.values() if uid in s.chunks]
         running = sum(a.state == m.RUNNING for c in chunks for a in c.attempts.values())
         done = records.done_count(self.ctx.view, uid)
@@ -98,7 +105,29 @@
                     f"machine type{where}: {', '.join(sorted(t.label for t in kinds)) or 'there is none'}")
         return next((why for s in self.subsystems if (why := s.never_runs(spec)) is not None), None)
 
-    def _submit(self, request: int, spec: m.JobSpec) -> None:
+    def _over(self, uid: str, job: records.JobRecord | None) -> bool:
+        """Whether its state is final: by its own record, or by that of a job that it needs."""
+        return job is not None and (records.is_final(job) or self.ctx.graph.is_withdrawn(uid))
+
+    def _waits_wrongly(self, spec: m.JobSpec) -> str | None:
+        """Why a job can never start for what it names; None if it can, as far as this node knows."""
+        if spec.uid in spec.waits_on:
+            return f"{spec.uid} waits on itself"
+        for uid in spec.waits_on:
+            job = self.ctx.view.job(uid)
+            if job is None:
+                return f"waits on {uid}, which was never accepted"
+            if job.spec is not None and job.spec.service:
+                return f"waits on {uid}, which is a service and never done"
+        return None
+
+    def _starts_withdrawn(self, spec: m.JobSpec) -> bool:
+        """Whether a job that it names is withdrawn already."""
+        jobs = [(uid, self.ctx.view.job(uid)) for uid in spec.waits_on]
+        return any(job is not None and self._over(uid, job) and job.state != m.DONE for uid, job in jobs)
+
+    def _submit(self, request: int, spec: m.JobSpec, read: bool = False) -> None:
+        """`read`: the ledger was read since it was asked, and the view has it all."""
         ctx = self.ctx
         uid = spec.uid
         known = ctx.view.job(uid)
@@ -113,18 +142,38 @@
             # Not before it is sure that the job is not known: an accepted job never gets 422.
             self._poll(request, uid, absent=(422, {"error": why}))
             return
+        if spec.waits_on:
+            if not self.pipelines_open():
+                self._unavailable(request)  # some controller may still run a version that does not know of it
+                return
+            why = self._waits_wrongly(spec)
+            if why is not None:
+                # Final for its user: not before this node knows what others accepted until now.
+                if read:
+                    ctx.reply(request, 422, {"error": why})
+                else:
+                    self._poll(request, uid, spec=spec)
+                return
+            # What is done for ever needs no place in the record; a withdrawn one does.
+            spec = m.waiting_on(spec, [u for u in dict.fromkeys(spec.waits_on)
+                                       if (job := ctx.view.job(u)) is not None and job.state != m.DONE])
         shard = self.balancer.shard_for()
         if shard is None:
             self._unavailable(request)
             return
         everything = tasksets.encode(set(range(spec.tasks)))
         job = records.JobRecord(m.QUEUED, spec.tasks, spec, shard, records.Chunk(everything), ctx.wall_us)
+        size, most = len(msgspec.json.encode(job)), int(ctx.settings.facts.state.value_kb * 1024)
+        if size > most:
+            self._poll(request, uid, absent=(422, {"error": f"{size} bytes to be kept, of {most} that fit a record"}))
+            return
 
         def done(status: int, failed: list[str]) -> None:
             if status == 200:
-                self.balancer.accepted(spec)
+                if not spec.waits_on:
+                    self.balancer.accepted(spec)
                 log.debug("accepted %s: %d tasks of %s for shard %d", uid, spec.tasks, spec.job_class, shard)
-                ctx.reply(request, 201, m.job_answer(uid, m.QUEUED))
+                ctx.reply(request, 201, m.job_answer(uid, m.WITHDRAWN if self._starts_withdrawn(spec) else m.QUEUED))
             elif status == 409:
                 self._poll(request, uid)
             else:
@@ -133,15 +182,15 @@
         ctx.txn({records.job_key(uid): 0}, {records.job_key(uid): (job, None)}, [], done, Urgency.USER)
 
     def _poll(self, request: int, uid: str, then: str = "status",
-              absent: tuple[int, object] = (404, {"error": "no such job"})) -> None:
+              absent: tuple[int, object] = (404, {"error": "no such job"}), spec: m.JobSpec | None = None) -> None:
         job = self.ctx.view.job(uid)
-        if job is not None and records.is_final(job):
+        if job is not None and self._over(uid, job):
             self.ctx.reply(request, 200, self._status(uid, job))
             return
         if len(self.polls) >= MAX_WAITING_POLLS:
             self._unavailable(request)
             return
-        self.polls.append(Waiting(request, uid, self.ctx.now_us, then, absent))
+        self.polls.append(Waiting(request, uid, self.ctx.now_us, then, absent, spec))
         self._barrier()
 
     def _barrier(self) -> None:
@@ -200,7 +249,9 @@
 
     def _after_barrier(self, entry: Waiting) -> None:
         job = self.ctx.view.job(entry.uid)
-        if job is None:
+        if job is None and entry.spec is not None:
+            self._submit(entry.request, entry.spec, read=True)
+        elif job is None:
             self.ctx.reply(entry.request, *entry.absent)
         elif entry.then == "cancel":
             self._cancel(entry.request, entry.uid, 3)
@@ -210,8 +261,8 @@
     def _cancel(self, request: int, uid: str, tries: int) -> None:
         ctx = self.ctx
         job = ctx.view.job(uid)
-        if job is not None and records.is_final(job):
-            ctx.reply(request, 200, m.job_answer(uid, job.state))
+        if job is not None and self._over(uid, job):
+            ctx.reply(request, 200, m.job_answer(uid, job.state if records.is_final(job) else m.WITHDRAWN))
             return
         if job is None or not self.ctx.state_ok():
             # A job this node has not heard of yet may exist all the same.
--- /dev/null
+++ b/quinceslip/pipelines/spreading.py
@@ -0,0 +1,53 @@
+"""Writes down that a job is withdrawn because one before it is.
+
+Every node says so already, derived from the records; this makes each job's own record final, so that what is kept of it
+is small and the derivation ends. Any such write may be made twice or late: its condition is the open record, and the
+outcome is the same whoever writes it. One write for each job, never one for a whole graph; few at a time, behind what
+users wait for.
+"""
+
+from collections.abc import Callable
+
+from quinceslip.coordination.context import SECOND, Context
+from quinceslip.coordination.effects import Urgency
+from quinceslip.pipelines.graph import Graph
+from quinceslip.protocol.messages import WITHDRAWN
+from quinceslip.storage import records
+
+#: part of this controller's write budget
+PART = 0.25
+
+
+class Spreader:
+    def __init__(self, ctx: Context, graph: Graph, owns: Callable[[int], bool]) -> None:
+        self.ctx = ctx
+        self.graph = graph
+        self.owns = owns
+        self.writing: set[str] = set()
+        facts = ctx.settings.facts
+        self.gap_us = int(SECOND * facts.size / (PART * facts.state.write_rps))
+        self.next_us = 0
+
+    def tick(self) -> None:
+        """Write the next one, of those that this controller answers for."""
+        now_us = self.ctx.now_us
+        if now_us < self.next_us or not self.graph.withdrawn or not self.ctx.state_ok():
+            return
+        view = self.ctx.view
+        for uid in self.graph.withdrawn:
+            job = view.job(uid)
+            if job is None or uid in self.writing or not self.owns(job.shard):
+                continue
+            self.next_us = now_us + self.gap_us
+            self._write(uid, job)
+            return
+
+    def _write(self, uid: str, job: records.JobRecord) -> None:
+        self.writing.add(uid)
+
+        def done(status: int, failed: list[str]) -> None:
+            self.writing.discard(uid)
+
+        key = records.job_key(uid)
+        final = records.final_record(job, WITHDRAWN, 0)
+        self.ctx.txn({key: self.ctx.view.stamp(key)}, {key: (final, None)}, [], done, Urgency.RESULT)
--- a/quinceslip/protocol/messages.py
+++ b/quinceslip/protocol/messages.py
@@ -19,6 +19,7 @@
 Uid = Annotated[str, Meta(pattern=r"^req-[0-9]{1,32}$")]
 
 RANKS = {"production": 0, "urgent": 1, "normal": 2, "low": 3}
+_RANK_NAMES: tuple[Any, ...] = tuple(RANKS)
 QUEUED, RUNNING, DONE, WITHDRAWN = "queued", "running", "done", "withdrawn"
 PULLING, FLUSHING, EXITED = "pulling", "flushing", "exited"
 CAUSE_DONE, CAUSE_HALTED, CAUSE_ERROR = "done", "halted", "error"
@@ -33,7 +34,7 @@
 CANCEL_END = "/cancel"
 
 
-class JobSpec(Struct, frozen=True, kw_only=True):
+class JobSpec(Struct, frozen=True, kw_only=True, omit_defaults=True):
     uid: Uid
     job_class: Text = field(name="lane")
     team: Text = field(name="crew")
@@ -54,6 +55,8 @@
     checkpoint_s: Amount = field(name="markEveryS")
     save_s: Amount = field(name="markCostS")
     deadline_s: Amount | None = field(name="dueS", default=None)
+    #: jobs that have to be done before any task of this one starts
+    waits_on: list[Uid] = field(name="waitsOn", default=[])
 
     @property
     def service(self) -> bool:
@@ -74,6 +77,16 @@
         return RANKS[self.rank]
 
 
+def with_priority(spec: JobSpec, priority: int) -> JobSpec:
+    """The same job with another priority (0: production)."""
+    return spec if spec.priority == priority else msgspec.structs.replace(spec, rank=_RANK_NAMES[priority])
+
+
+def waiting_on(spec: JobSpec, uids: list[str]) -> JobSpec:
+    """The same job, to be started once these are done."""
+    return spec if spec.waits_on == uids else msgspec.structs.replace(spec, waits_on=uids)
+
+
 class _Named(Struct):
     uid: Uid
 
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -83,7 +83,7 @@
     spec: JobSpec | None = None
     shard: int = 0
     chunk: Chunk | None = None
-    #: wall clock at acceptance, only for order and deadlines
+    #: wall clock at acceptance, of a job that is over at its end; only for order and deadlines
     at_us: int = 0
     #: shards that hold parts besides the home shard
     parts: list[int] = []
@@ -277,9 +277,9 @@
     return job.state in (DONE, WITHDRAWN)
 
 
-def final_record(job: JobRecord, state: str, done: int) -> JobRecord:
-    """What is kept of a job for ever: enough to answer its users."""
-    return JobRecord(state=state, tasks=job.tasks, done=done)
+def final_record(job: JobRecord, state: str, done: int, at_us: int = 0) -> JobRecord:
+    """What is kept of a job for ever: enough to answer its users, and since when those may start that needed it."""
+    return JobRecord(state=state, tasks=job.tasks, done=done, at_us=at_us)
 
 
 def done_count(view: View, uid: str) -> int:
