Room in the caps is kept only while it serves

Cause: room that was made in the caps for a job stayed kept for 10 s whether or not the job could use it. Three ways led to it: no machine took the rest of a service, or all of a gang (work had stopped for it in vain); room for two jobs was made where there was room for one, and each waited for what was kept for the other (what was kept in earlier passes did not count as spoken for, and a refusal for its sake alone made room in part, as if other shards had the rest); a service of which the last task was stopped needs its whole at once, and what was kept for one task served nobody. Change: a whole pass that finds no machine for the rest of a job lets its room go, once what was stopped for it has gone, and looks again in the same pass at those that were refused for it; until the 10 s are over nothing more stops for that job but on a machine that can take it. Work stops for a gang only where all of it finds places then, and as much as that takes. What is kept for others is spoken for. What a job could have if machines had places still counts for rentals; a job that has waited too long has room kept as before.

--- a/quinceslip/coordination/placement.py
+++ b/quinceslip/coordination/placement.py
@@ -134,7 +134,7 @@
                 continue
             if not whole and not roomy:
                 return
-            if not self._admits(chunk, whole):
+            if not self._admits(chunk, whole, machines):
                 continue
             before = self.launched
             offered = [w for w in roomy if not self.patience.holds(w, chunk)] if self.patience.kept else roomy
@@ -145,6 +145,8 @@
                 self._place_bound(chunk, offered, machines, failed, whole)
             else:
                 self._place_free(chunk, offered, machines, failed, whole)
+            if whole and chunk.pending and self.state.quota is not None:
+                self.state.quota.unplaced(chunk)
             if chunk.first and whole:
                 self._passed_over_no_more(chunk, machines, before == self.launched)
             if chunk.pending and not chunk.spec.gang and self._hopeless(chunk, self.everywhere, failed, False):
@@ -413,11 +415,11 @@
         if quota is None or quota.allows(chunk.spec):
             return True
         if whole and not quota.waits_for_round():
-            there = machines.all() if full and machines is not None else []
-            quota.blocked(chunk, 1, not there, (w for w in there if self.allowed(w, chunk.spec, None)))
+            there = machines.all() if machines is not None else []
+            quota.blocked(chunk, 1, not (full and there), (w for w in there if self.allowed(w, chunk.spec, None)))
         return False
 
-    def _admits(self, chunk: Chunk, whole: bool) -> bool:
+    def _admits(self, chunk: Chunk, whole: bool, machines: Usable) -> bool:
         """A gang, and a service of which nothing runs yet, starts within its quotas as a whole or not at all."""
         quota, spec = self.state.quota, chunk.spec
         if quota is None or not (spec.gang or (spec.service and not chunk.attempts)) or not chunk.pending:
@@ -426,5 +428,5 @@
         if quota.allows(spec, count):
             return True
         if whole and not quota.waits_for_round():
-            quota.blocked(chunk, count, True)
+            quota.blocked(chunk, count, True, (w for w in machines.all() if self.allowed(w, spec, None)))
         return False
--- a/quinceslip/quota/gate.py
+++ b/quinceslip/quota/gate.py
@@ -15,7 +15,7 @@
 from quinceslip.quota.meter import Kept
 from quinceslip.quota.purses import Purses
 from quinceslip.quota.rounds import Rounds
-from quinceslip.quota.search import Search, stopped_first
+from quinceslip.quota.search import Places, Search, stopped_first
 from quinceslip.quota.tree import UNLIMITED, ZERO, Amounts, Tree, add, positive, task_amounts, times, within
 
 log = logging.getLogger(__name__)
@@ -44,19 +44,27 @@
         super().__init__(tree, purses, state)
         self.claims: dict[str, Claim] = {}
         self.last_held_back = False  # the last refusal was a target's
+        self.last_kept_back: int | None = None  # the level, where the last refusal was for room that is kept
         self.promised: dict[int, Amounts] = {}  # room that claims of this pass have been made
+        self.made: set[str] = set()  # the jobs that were
+        self.wished: dict[str, Amounts] = {}  # by job: what would be made room for if machines had any
         self.victims: list[Attempt] | None = None  # what could be stopped, in order, for this pass
 
     def begin(self, queue: Sequence[Chunk]) -> None:
         """What was found in the last pass is found anew; room stays kept for what still waits for it."""
         self.claims.clear()
         self.promised.clear()
+        self.made.clear()
         self.refused.clear()
+        self.wished.clear()
+        self.kept_back.clear()
+        self.let_go = False
         self.victims = None
         now_us = self.state.ctx.now_us
         waiting = {c.uid for c in queue} if self.kept else set()
         self.kept = {uid: kept for uid, kept in self.kept.items()
-                     if any(kept.room) and now_us < kept.until_us and (uid in waiting or not kept.here)}
+                     if any((*kept.room, *kept.let_go)) and now_us < kept.until_us
+                     and (uid in waiting or not kept.here)}
 
     def nothing_waits(self) -> None:
         self.claims.clear()
@@ -70,7 +78,7 @@
             return True
         need = times(task_amounts(spec), count)
         capped = self.tree.capped[spec.team]
-        self.last_held_back = False
+        self.last_held_back, self.last_kept_back = False, None
         for level in capped:
             known = self.refused.get(level)
             if known is not None and within(known, need):
@@ -86,6 +94,7 @@
                 return False
             if self.kept and not within(add(wanted, self.kept_for_others(level, spec.uid)),
                                         purse.limit(self.state.index)):
+                self.last_kept_back = level
                 return False
         if self.targets:
             for level in path:
@@ -108,7 +117,7 @@
         for level in self.tree.capped.get(spec.team, ()):
             purse = self.purses.cap(level)
             room = add(add(purse.limit(self.state.index), positive(purse.pool())), self.net(level), -1)
-            room = add(room, spoken_for.get(level, ZERO), -1)
+            room = add(add(room, self.wished.get(spec.uid, ZERO)), spoken_for.get(level, ZERO), -1)
             most = min([most, *(max(0, r) // n for r, n in zip(room, need, strict=True) if n)])
         self.count(spoken_for, path, times(need, most), 1)
         return most
@@ -121,11 +130,14 @@
         if not path:
             return set()
         need = times(task_amounts(spec), count)
-        return {level for level in path if within(add(self._spoken_for(level), need), self.own(level))}
+        return {level for level in path if within(add(self._spoken_for(level, spec.uid), need), self.own(level))}
 
-    def _spoken_for(self, level: int) -> Amounts:
-        """What stays in use, and what others of this pass were made room for."""
-        return add(self.net(level), self.promised.get(level, ZERO))
+    def _spoken_for(self, level: int, uid: str) -> Amounts:
+        """What stays in use, what was made room for in this pass, and what is kept for others since earlier ones.
+
+        Guard: without the last, room for two jobs would be made where there is room for one, and neither could start.
+        """
+        return add(add(self.net(level), self.promised.get(level, ZERO)), self.kept_for_others(level, uid, self.made))
 
     def search(self, spec: m.JobSpec, count: int = 1, rests_on: set[int] | None = None) -> Search:
         return Search(self, spec, self.rests_on(spec, count) if rests_on is None else rests_on)
@@ -135,7 +147,7 @@
         need = times(task_amounts(spec), count)
         found: dict[int, Amounts] = {}
         for level in self.tree.capped.get(spec.team, ()):
-            short = positive(add(add(self._spoken_for(level), need), self.limit(level), -1))
+            short = positive(add(add(self._spoken_for(level, spec.uid), need), self.limit(level), -1))
             if any(short):
                 found[level] = short
         return found
@@ -146,27 +158,67 @@
         spec = chunk.spec
         known = self.claims.get(spec.team)
         waiting = times(task_amounts(spec), max(count, len(chunk.pending)))
+        again = chunk.uid in self.kept_back  # looked at once more in one pass: its need is counted
+        if self.last_kept_back is not None:
+            self.kept_back[chunk.uid] = chunk
         if known is not None:
-            known.need = add(known.need, waiting)
+            known.need = known.need if again else add(known.need, waiting)
             return
         if self._others_hold(spec.team):
             self.claims[spec.team] = Claim(spec.team, times(task_amounts(spec), count), waiting,
                                            (int(not placeable), spec.priority, chunk.at_us, chunk.uid), spec, count)
         if (spec.priority <= 1 or self.tree.guaranteed.get(spec.team)) and self.open():
-            if placeable:
-                self.make_room(spec, count, len(chunk.pending) // count)
+            made, kept = False, self.kept.get(chunk.uid)
+            let_go = kept.let_go if kept is not None else ZERO
+            if spec.gang and not chunk.first:
+                # Guard: all of it must find places. Without this, work would stop for a gang that cannot start, and the
+                # room would stay empty. One that has waited too long has machines kept for it, and room with them.
+                if not chunk.attempts and not any(let_go):
+                    made = self.make_room(spec, count, 1, places=Places(spec, list(workers)))
+            elif placeable and (spec.gang or not any(let_go)):
+                made = self.make_room(spec, count, len(chunk.pending) // count)
             else:
                 # No machine has room either: what stops must leave room for a task on one of them.
+                if any(let_go):
+                    self.wished[spec.uid] = let_go
                 left = len(chunk.pending) // count
                 for worker in workers:
                     # Bound: the tasks that wait, in lots of `count`.
                     while left > 0 and self.make_room(spec, count, 1, machine=worker):
-                        left -= 1
+                        left, made = left - 1, True
+            if kept is not None and kept.here and not made and self.last_kept_back is None \
+                    and not self._others_hold(spec.team):
+                # Guard: it needs more by now than what is kept (a service of which nothing runs any more starts as a
+                # whole), and nobody can give that. Without this, what is kept serves nobody.
+                self._let_go(kept)
+
+    def unplaced(self, chunk: Chunk) -> None:
+        """A whole pass has found no machine for what still waits of a chunk.
+
+        Guard: what is kept for it is for others then, except while what was stopped for it still goes, or machines are
+        kept for it as well. Without this, the room would stay empty beside work that fits: the rest of a service of
+        which no machine takes more keeps it from all others. Until its time is over, nothing stops for the job but on
+        a machine that can take it: else the two would stop each other in every pass.
+        """
+        kept = self.kept.get(chunk.uid)
+        if kept is not None and kept.here and any(kept.room) and not chunk.first \
+                and self.allows(chunk.spec, len(chunk.pending) if chunk.spec.gang else 1):
+            self._let_go(kept)
+
+    def _let_go(self, kept: Kept) -> None:
+        """Others may have what is kept, unless what was stopped for it still goes."""
+        if any(kept.room) and not any(a.counted is not None for a in kept.stops):
+            kept.room, kept.let_go = ZERO, kept.room
+            self.let_go = True
 
     def _others_hold(self, team: str) -> bool:
-        """Whether the levels that had no room could get any from the pool or another shard."""
+        """Whether the levels that had no room could get any from the pool or another shard.
+
+        Guard: also one that has none only because it is kept for others. Without it, part of what a job needs would be
+        made room for here while nobody has the rest, and it and those others would keep room from each other.
+        """
         for level in self.tree.capped.get(team, ()):
-            if level in self.refused:
+            if level in self.refused or level == self.last_kept_back:
                 purse = self.purses.cap(level)
                 elsewhere = add(purse.ruling(), purse.held(self.state.index), -1)
                 if not any(0 < left < UNLIMITED // 2 for left in elsewhere):
@@ -174,7 +226,8 @@
         return True
 
     def make_room(self, spec: m.JobSpec, count: int, times_: int, rests_on: set[int] | None = None,
-                  lacking: dict[int, Amounts] | None = None, machine: Worker | None = None) -> bool:
+                  lacking: dict[int, Amounts] | None = None, machine: Worker | None = None,
+                  places: Places | None = None) -> bool:
         """Have borrowed work stop for as many tasks as may claim it, `count` at a time; whether any will.
 
         `rests_on` and `lacking` are another shard's, where the claim is from there.
@@ -184,25 +237,31 @@
         partly = lacking is not None or (count > 1 and machine is None and self._others_hold(spec.team))
         for _ in range(times_):
             short = self.lacking(spec, count) if lacking is None else lacking
-            if short and not self.reclaim(spec, short, self.search(spec, count, rests_on), machine, partly):
+            search = self.search(spec, count, rests_on)
+            stops = self.reclaim(spec, count, short, search, machine, partly, places) if short else []
+            if stops is None:
                 return made
             made = True
             room = times(task_amounts(spec), count)
             self.count(self.promised, self.tree.path(spec.team), room, 1)
+            self.made.add(spec.uid)
             if short:
                 kept = self.kept.setdefault(spec.uid, Kept(spec.team, ZERO, 0, lacking is None))
                 kept.room = room if partly else add(kept.room, room)
+                kept.stops, kept.let_go = [*kept.stops, *stops], ZERO
                 kept.until_us = self.state.ctx.now_us + KEPT_US
         return made
 
-    def reclaim(self, spec: m.JobSpec, lacking: dict[int, Amounts], search: Search,
-                machine: Worker | None = None, partly: bool = False) -> bool:
+    def reclaim(self, spec: m.JobSpec, count: int, lacking: dict[int, Amounts], search: Search,
+                machine: Worker | None = None, partly: bool = False,
+                places: Places | None = None) -> list[Attempt] | None:
         """Stop what gives way until the levels have that much room; all of it or nothing, unless `partly`.
 
-        With a machine, only what runs there, and it must have room for a task afterwards.
+        With a machine, only what runs there, and it must have room for a task afterwards. With places, all tasks of the
+        job must have one. What stops, or None where that is not to be had.
         """
         if spec.priority > 1 and not search.rests_on:
-            return False
+            return None
         if self.victims is None:
             self.victims = sorted((a for team in self.teams.values() for a in team if a.seen), key=stopped_first)
         left = dict(lacking)
@@ -218,6 +277,8 @@
             if victim.counted is not None and useful and search.may(victim):
                 search.pick(victim)
                 chosen.append(victim)
+                if places is not None:
+                    places.freed(victim)
                 free = (free[0] + victim.spec.cpus, free[1] + victim.spec.gpus, free[2] + victim.spec.memory_gb)
                 for level in path:
                     if level in left:
@@ -225,8 +286,33 @@
                         if not any(left[level]):
                             del left[level]
         if (left and not (partly and chosen)) or (machine is not None and not fits(free, spec)):
-            return False
+            return None
+        if places is not None and not self._find_places(places, count, search, chosen):
+            self.wished[spec.uid] = times(task_amounts(spec), count)
+            return None
         for victim in chosen:
             log.info("%s makes room for %s, by quotas", victim.name, spec.uid)
             self.state.halt(victim, 0.0)
+        return chosen
+
+    def _find_places(self, places: Places, wanted: int, search: Search, chosen: list[Attempt]) -> bool:
+        """Whether so many tasks find places once what is chosen has gone; more is chosen if it takes that."""
+        before = len(chosen)
+        for victim in self.victims or ():
+            if places.count >= wanted:
+                break
+            if victim.counted is not None and not victim.halting and not victim.ended and victim not in chosen \
+                    and victim.worker in places.room and search.may(victim):
+                search.pick(victim)
+                places.freed(victim)
+                chosen.append(victim)
+        if places.count < wanted:
+            return False
+        # What made no difference goes on.
+        for victim in chosen[before:]:
+            places.freed(victim, -1)
+            if places.count < wanted:
+                places.freed(victim)
+            else:
+                chosen.remove(victim)
         return True
--- a/quinceslip/quota/meter.py
+++ b/quinceslip/quota/meter.py
@@ -1,7 +1,7 @@
 """Counts what may still be on the machines of one shard, by level, as tasks come and go."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, field
 
 from quinceslip.coordination.state import Attempt, ShardState, Worker
 from quinceslip.protocol import messages as m
@@ -18,6 +18,8 @@
     room: Amounts
     until_us: int
     here: bool  # the job waits in this shard; else its shard gets the room as a grant
+    stops: list[Attempt] = field(default_factory=list)  # what was told to stop for it
+    let_go: Amounts = ZERO  # what others have of it, since no machine could take the job
 
 
 class Meter:
@@ -126,7 +128,7 @@
             if machine is None or self.state.settled(machine, attempt):
                 self.leave(attempt)
 
-    def kept_for_others(self, level: int, uid: str) -> Amounts:
+    def kept_for_others(self, level: int, uid: str, without: Container[str] = ()) -> Amounts:
         """Room beneath a level that was made for other jobs, which take it when what was stopped has gone.
 
         Without this, higher priority beyond its guarantee would take what a guarantee has just claimed from
@@ -134,7 +136,7 @@
         """
         total = ZERO
         for other, kept in self.kept.items():
-            if other != uid and level in self.tree.path(kept.team):
+            if other != uid and other not in without and level in self.tree.path(kept.team):
                 total = add(total, kept.room)
         return total
 
--- a/quinceslip/quota/rounds.py
+++ b/quinceslip/quota/rounds.py
@@ -38,6 +38,8 @@
         self.held_back = False  # by a target, not by a limit
         self.demand: dict[int, Amounts] = {}  # of waiting work, by level with a guarantee
         self.capacity: Amounts = ZERO
+        self.kept_back: dict[str, Chunk] = {}  # refused in this pass for the sake of room that is kept
+        self.let_go = False  # such room was given up after that
 
     def begin(self, queue: Sequence[Chunk]) -> None:
         """A whole pass begins."""
@@ -78,6 +80,13 @@
                 self.targets = {}
             if chunks:
                 yield chunks
+        if self.let_go and self.kept_back:
+            # Guard: whoever came before it in this pass was refused what has been given up since. Without this they
+            # wait beside it until something else brings another pass.
+            again = [c for c in self.kept_back.values() if c.pending]
+            for chunk in again:
+                chunk.held = False
+            yield self._fairest(again)
 
     @staticmethod
     def _free(workers: Sequence[Worker], cpus: float) -> bool:
--- a/quinceslip/quota/search.py
+++ b/quinceslip/quota/search.py
@@ -1,8 +1,9 @@
 """Which work gives way to a job."""
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from quinceslip.coordination.state import Attempt
+from quinceslip.coordination.state import EPSILON, Attempt, Worker
 from quinceslip.protocol import messages as m
 from quinceslip.quota.tree import ZERO, Amounts, add, within
 
@@ -51,6 +52,31 @@
             self.gate.count(self.picked, self.gate.tree.path(victim.spec.team), victim.counted, 1)
 
 
+class Places:
+    """How many tasks of a job machines can take once what was told to stop is gone."""
+
+    def __init__(self, spec: m.JobSpec, workers: Sequence[Worker]) -> None:
+        self.spec = spec
+        self.room = {w.name: w.free() for w in workers}
+        self.count = sum(map(self._tasks, self.room.values()))
+        for worker in workers:
+            for attempt in worker.live():
+                if attempt.halting:
+                    self.freed(attempt)
+
+    def freed(self, attempt: Attempt, by: int = 1) -> None:
+        room, spec = self.room.get(attempt.worker), attempt.spec
+        if room is not None:
+            now = (room[0] + by * spec.cpus, room[1] + by * spec.gpus, room[2] + by * spec.memory_gb)
+            self.count += self._tasks(now) - self._tasks(room)
+            self.room[attempt.worker] = now
+
+    def _tasks(self, room: tuple[float, float, float]) -> int:
+        needs = (self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
+        return int(min(((have + EPSILON) // need for have, need in zip(room, needs, strict=True) if need > 0),
+                       default=self.spec.tasks))
+
+
 def stopped_first(attempt: Attempt) -> tuple[int, bool, int, str]:
     """Lowest priority first, then what saves its work, then what has run shortest."""
     return (-attempt.spec.priority, attempt.spec.checkpoint_s == 0, -attempt.running_us, attempt.name)
