--- a/quinceslip/models/takeover.py
+++ b/quinceslip/models/takeover.py
@@ -118,7 +118,7 @@
         # Nothing is final in the view before the job is; a recorded task stands in its chunk.
         ctx: Any = SimpleNamespace(now_us=0, types={}, call=self._call,
                                    view=SimpleNamespace(job=lambda uid: JobRecord(m.QUEUED, self.tasks)))
-        rights: Any = SimpleNamespace(entitled=lambda: True, claim=self._claim)
+        rights: Any = SimpleNamespace(entitled=lambda shard: True, claim=self._claim)
         owner = self.owner = Custody(ctx, rights, 0, self.term)
         owner.guards = self.guards
         self.chunk = owner.chunks[UID] = Chunk(UID, SPEC, 0, own=set(range(self.tasks)), done=set(self.recorded))
