Announced limits of the state service are kept from the start

Need: the settings may announce lower limits (facts.state.next) that hold from some moment on, without notice. A value or transaction that rests on the present ones is refused then, and what it was to record waits for ever. Change: StateFacts.lasting() is the lesser of each limit, now and next; the rates, the watch's pause, reads for polls, results, enrolment, arming, strikes and quotas' moves all rest on it. Loads of many shards, and the parts of a job that is over, go in as many transactions as it takes. Results that fit no record wait on their workers; no move makes records that can't hold the last result, or more parts than a job's end has conditions for; types that fit no record are not kept; a job whose description fits none gets 422, behind the read barrier. A refusal for size (400 that is no lapsed lease, 413) is logged with keys and size, and the same changes are not sent again.

--- a/quinceslip/coordination/balancing.py
+++ b/quinceslip/coordination/balancing.py
@@ -129,19 +129,19 @@
         self.accepted_us = [(t, n) for t, n in self.accepted_us if now_us - t < window_us]
         span_s = max(5.0, min(window_us, now_us - self.ctx.started_us) / SECOND)
         arrivals = sum(n for _, n in self.accepted_us) / span_s
-        conditions: dict[str, int] = {}
-        puts = {}
+        writes: list[tuple[str, records.LoadRecord, dict[str, int]]] = []
         for shard in self.shards.values():
-            conditions |= self.ownership.condition(shard.index)
             slots, rate = shard.station()
             share = arrivals if shard.index == self.ownership.home else 0.0
             record = records.LoadRecord(shard.waiting(), slots, rate, share, shard.room())
             if self.ctx.view.by_kind["load"].get(str(shard.index)) != record:
                 key = records.load_key(shard.index)
-                puts[key] = (record, None)
-                conditions[key] = self.ctx.view.stamp(key)  # carried out late it undoes no newer one
-        if puts:
-            self.ctx.txn(conditions, puts, [], lambda s, f: None)
+                # Carried out late it undoes no newer one.
+                writes.append((key, record, {**self.ownership.condition(shard.index), key: self.ctx.view.stamp(key)}))
+        most = self.ctx.limits.txn_ops
+        for batch in (writes[start: start + most] for start in range(0, len(writes), most)):
+            conditions = {key: stamp for *_, each in batch for key, stamp in each.items()}
+            self.ctx.txn(conditions, {key: (record, None) for key, record, _ in batch}, [], lambda s, f: None)
 
     def _balance(self) -> None:
         stations, _, _ = self._stations()
--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -1,5 +1,6 @@
 """What the parts of a node's actor share: settings, the view, and calls with their answers."""
 
+import hashlib
 import logging
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -27,6 +28,8 @@
 REPORT_WAIT_US = 4 * SECOND
 #: estimates are often wrong by half: a way is planned so much longer than they say
 WAY_PART = 1.5
+#: so many transactions that the state service refused are remembered, to be sent no second time
+MOST_REFUSED = 1000
 
 Done = Callable[[int, bytes], None]
 TxnDone = Callable[[int, list[str]], None]
@@ -81,6 +84,7 @@
         self.settings = settings
         self.tuning = tuning
         self.timing = Timing(settings)
+        self.limits = settings.facts.state.lasting()
         self.view = View()
         self.graph = Graph(self.view.job, self._urgency, self._way_us)
         self.out: list[Effect] = []
@@ -98,6 +102,8 @@
         self.teams = {t.name: t for t in settings.facts.teams}
         self.part = ""  # of the tick, while it runs: where the actor is, for whoever sees it stand still
         self.keys_synced = 0
+        self.refused: dict[bytes, None] = {}  # digests of changes that the state service does not take
+        self.spared: list[TxnDone] = []  # who sent such changes again, and is told so at the next tick
 
     # What the graph of jobs asks: as it is before anything runs, by the estimates of the jobs' owners.
 
@@ -159,10 +165,21 @@
 
     def txn(self, conditions: dict[str, int], puts: Mapping[str, tuple[Any, int | None]],
             drops: list[str], done: TxnDone, urgency: Urgency = Urgency.REST) -> None:
-        """One conditional write. On success the view has it before `done` runs."""
+        """One conditional write. On success the view has it before `done` runs.
+
+        What the state service does not take for its size is answered 400, and logged as an error; the same changes
+        are not sent again. An expired lease is answered 400 too, and says nothing of the changes.
+        """
+        request = messages.txn_request(conditions, puts, drops)
+        if self.refused and _digest(request) in self.refused:
+            self.spared.append(done)  # later, as every answer: callers set their marks after the call as well
+            return
 
         def finish(status: int, body: bytes) -> None:
             self.note_state(status)
+            if status in (400, 413) and messages.NO_LEASE not in body:
+                status = 400
+                self._refuse(request, body)
             failed: list[str] = []
             keys: list[str] = []
             if status in (200, 409):
@@ -179,6 +196,39 @@
             done(status, failed)
             self.changed(keys)
 
-        body = messages.txn_request(conditions, puts, drops)
-        self.call("state", "POST", messages.PATH_TXN, body, finish, writes=len(puts) + len(drops),
+        self.call("state", "POST", messages.PATH_TXN, request, finish, writes=len(puts) + len(drops),
                   urgency=urgency)
+
+    def _refuse(self, request: dict[str, Any], why: bytes) -> None:
+        changes = request["then"]
+        keys = [change.get("write") or change["drop"] for change in changes]
+        sizes = [len(msgspec.json.encode(change["v"])) for change in changes if "v" in change]
+        log.error("state service refused %d changes with %d conditions, the largest value of %d bytes: %s: %s",
+                  len(changes), len(request["if"]), max(sizes, default=0), ", ".join(keys),
+                  why[:200].decode("utf-8", "replace"))
+        self.refused[_digest(request)] = None
+        if len(self.refused) > MOST_REFUSED:
+            del self.refused[next(iter(self.refused))]
+
+    def tell_spared(self) -> None:
+        spared, self.spared = self.spared, []
+        for done in spared:
+            done(400, [])
+
+    def fits(self, value: Any) -> bool:
+        """Whether a value is within the limit on values, also the one that is announced."""
+        return len(msgspec.json.encode(value)) <= self.limits.value_kb * 1024
+
+    def sweep(self, keys: list[str]) -> None:
+        """Drop records that nothing reads any more, as many at a time as a transaction takes.
+
+        Once: what fails is left behind, and costs its bytes alone.
+        """
+        for start in range(0, len(keys), self.limits.txn_ops):
+            batch = keys[start: start + self.limits.txn_ops]
+            self.txn({k: self.view.stamp(k) for k in batch}, {}, batch, lambda s, f: None)
+
+
+def _digest(request: dict[str, Any]) -> bytes:
+    """Of what a transaction changes; its conditions have no part in its size."""
+    return hashlib.blake2b(msgspec.json.encode(request["then"]), digest_size=16).digest()
--- a/quinceslip/coordination/hiring.py
+++ b/quinceslip/coordination/hiring.py
@@ -108,7 +108,7 @@
         hire.enrolled |= {n for n in hire.names if n in roster}
         left = [n for n in hire.names if n not in hire.enrolled]
         entry = records.RosterRecord(hire.shard, record.type, record.zone, record.spot)
-        fresh = left[: self.ctx.settings.facts.state.txn_ops - 1]
+        fresh = left[: self.ctx.limits.txn_ops - 1]
         rest = len(left) > len(fresh)
         conditions = self.ownership.condition(hire.shard)
         # Guard: each of these writes stamps the intent anew, or drops it. One that is carried out late, after another,
--- a/quinceslip/coordination/inventory.py
+++ b/quinceslip/coordination/inventory.py
@@ -128,7 +128,7 @@
         if not self.leaving or self.striking or self.ctx.now_us < self.next_strike_us:
             return
         index = next(iter(self.leaving.values()))
-        names = [n for n, s in self.leaving.items() if s == index][: self.ctx.settings.facts.state.txn_ops]
+        names = [n for n, s in self.leaving.items() if s == index][: self.ctx.limits.txn_ops]
         self.striking = True
 
         def done(status: int, failed: list[str]) -> None:
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -161,8 +161,8 @@
 
     def _tick(self) -> None:
         """Every part on its own: a defect in one of them costs that part its turn and nothing else."""
-        for name, part in (("rights", self.ownership.tick), ("shards", self._tick_shards),
-                           ("machines", self.provision.tick), ("beat", self._tick_beat),
+        for name, part in (("refused", self.ctx.tell_spared), ("rights", self.ownership.tick),
+                           ("shards", self._tick_shards), ("machines", self.provision.tick), ("beat", self._tick_beat),
                            ("balance", self.balancer.tick), ("peers", self._tick_seldom),
                            *((type(s).__name__, s.tick) for s in self.subsystems), ("users", self.users.tick),
                            ("withdrawals", self.spreader.tick)):
--- a/quinceslip/coordination/provision.py
+++ b/quinceslip/coordination/provision.py
@@ -91,8 +91,9 @@
             first = not self.ctx.types
             self._set_types(types)
             self.next_types_us = self.ctx.now_us + 60 * SECOND
-            if first or self.ctx.view.stamp(records.TYPES) == 0:
-                stamp = self.ctx.view.stamp(records.TYPES)
+            stamp = self.ctx.view.stamp(records.TYPES)
+            # More types than fit a record are not kept, for a part of them would tell users that jobs never run.
+            if (first or stamp == 0) and self.ctx.fits(types):
                 self.ctx.txn({records.TYPES: stamp}, {records.TYPES: (types, None)}, [], lambda s, f: None)
 
         self.ctx.call("cloud", "GET", m.PATH_FLAVORS, None, done, timeout_us=3 * SECOND, urgency=Urgency.REST)
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -1,7 +1,7 @@
 """Keeps the chunks of a shard and their records in the state service in line with each other."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 import msgspec
@@ -46,8 +46,7 @@
         self.ctx = state.ctx
         self.open: set[str] = set()  # chunks that may have something to record
         self.arrived = 0
-        facts = state.ctx.settings.facts
-        self.writes_per_s = FLUSH_PART * facts.state.write_rps / facts.size
+        self.writes_per_s = FLUSH_PART * self.ctx.limits.write_rps / self.ctx.settings.facts.size
 
     # From the records.
 
@@ -178,13 +177,39 @@
         if not job.parts and len(done) == job.tasks:
             self._finish(chunk, job, len(done))
             return
-        record = records.Chunk(tasksets.encode(chunk.own), tasksets.encode(done), sorted(chunk.zones))
-        value = msgspec.structs.replace(job, chunk=record) if job.shard == self.state.index else record
+        value = self._fitting(chunk, job)
+        if value is None:
+            chunk.next_flush_us = chunk.next_result_us
+            return
         self._write(chunk, {key: view.stamp(key)}, {key: (value, None)}, [],
                     Urgency.USER if whole else Urgency.RESULT)
 
+    def _value(self, chunk: Chunk, job: records.JobRecord, done: set[int]) -> records.JobRecord | records.Chunk:
+        record = records.Chunk(tasksets.encode(chunk.own), tasksets.encode(done), sorted(chunk.zones))
+        return msgspec.structs.replace(job, chunk=record) if job.shard == self.state.index else record
+
+    def _fitting(self, chunk: Chunk, job: records.JobRecord) -> records.JobRecord | records.Chunk | None:
+        """The chunk's record with its results, or with as many as fit; the others wait on their workers.
+
+        None where none fits and nothing else is to be settled: the last result may make the set short again.
+        """
+        value = self._value(chunk, job, chunk.done | chunk.new_done)
+        if self.ctx.fits(value):
+            return value
+        fresh = sorted(chunk.new_done)
+        few, many = 0, len(fresh)
+        # Bound: the logarithm of the results; each turn halves what is between.
+        while few + 1 < many:
+            half = (few + many) // 2
+            if self.ctx.fits(self._value(chunk, job, chunk.done | set(fresh[:half]))):
+                few = half
+            else:
+                many = half
+        return self._value(chunk, job, chunk.done | set(fresh[:few])) if few or chunk.in_doubt else None
+
     def _write(self, chunk: Chunk, conditions: dict[str, int], puts: dict[str, tuple[Any, int | None]],
-               drops: list[str], urgency: Urgency) -> None:
+               drops: list[str], urgency: Urgency, later: Sequence[str] = ()) -> None:
+        """`later` names what may be dropped once this is written."""
         chunk.flushing = True
 
         def finish(status: int, failed: list[str]) -> None:
@@ -193,6 +218,7 @@
             job = self.ctx.view.job(chunk.uid)
             if status == 200 and job is not None and job.state == m.DONE:
                 log.info("job %s is done", chunk.uid)
+                self.ctx.sweep(list(later))
 
         self.ctx.txn({**self.state.ownership.condition(self.state.index), **conditions}, puts, drops, finish,
                      urgency)
@@ -213,9 +239,10 @@
         view, uid = self.ctx.view, chunk.uid
         parts = [records.part_key(s, uid) for s in job.parts]
         conditions = {key: view.stamp(key) for key in [records.job_key(uid), *parts]}
+        drops = [p for p in parts if view.stamp(p)]
+        most = self.ctx.limits.txn_ops - 1  # nobody reads the parts of a job that is over
         final = records.final_record(job, m.DONE, count, self.ctx.wall_us)
-        self._write(chunk, conditions, {records.job_key(uid): (final, None)},
-                    [p for p in parts if view.stamp(p)], Urgency.USER)
+        self._write(chunk, conditions, {records.job_key(uid): (final, None)}, drops[:most], Urgency.USER, drops[most:])
 
     # Moves between shards.
 
@@ -250,7 +277,7 @@
 
     def move(self, chunk: Chunk, indices: list[int], target: int,
              split: tuple[set[str], set[str]] | None = None) -> None:
-        """Hand waiting tasks to another shard in one transaction."""
+        """Hand waiting tasks to another shard in one transaction; not where records would become too large."""
         state, view, uid = self.state, self.ctx.view, chunk.uid
         job = view.job(uid)
         if job is None or job.state != m.QUEUED or not indices:
@@ -266,6 +293,11 @@
         chunks = {state.index: mine, target: theirs}
         parts = sorted({*job.parts, *(s for s in chunks if s != job.shard)})
         record = msgspec.structs.replace(job, parts=parts, chunk=chunks.get(job.shard, job.chunk))
+        # Guard: what moves must be recordable to the last of its results, and a job's end has a condition on each part.
+        ends = {s: msgspec.structs.replace(c, done=c.own) for s, c in chunks.items()}
+        last = msgspec.structs.replace(record, chunk=ends.get(job.shard, job.chunk))
+        if len(parts) + 2 > 4 * self.ctx.limits.txn_ops or not all(map(self.ctx.fits, (*ends.values(), last))):
+            return
         key = self._key(uid)
         puts: dict[str, tuple[Any, int | None]] = {
             records.part_key(s, uid): (c, None) for s, c in chunks.items() if s != job.shard}
--- a/quinceslip/coordination/shard.py
+++ b/quinceslip/coordination/shard.py
@@ -139,7 +139,7 @@
         workers = [w for w in (self.workers.get(n) for n in sorted(self.to_arm))
                    if w is not None and not w.armed and w.name in roster]
         self.to_arm = {w.name for w in workers}
-        fresh = [w for w in workers if not w.arming][: self.ctx.settings.facts.state.txn_ops]
+        fresh = [w for w in workers if not w.arming][: self.ctx.limits.txn_ops]
         if not fresh or not self.ownership.entitled(self.index):
             return
         for worker in fresh:
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -49,7 +49,7 @@
         self.cancels: list[tuple[int, str, int, int]] = []  # to be tried again
         self.barrier_busy = False
         facts = ctx.settings.facts
-        self.read_gap_us = min(int(SECOND * facts.size / (READ_PART * facts.state.rps)), READ_WAIT_US)
+        self.read_gap_us = min(int(SECOND * facts.size / (READ_PART * ctx.limits.rps)), READ_WAIT_US)
         self.next_read_us = 0
         self.reads = 0  # barriers so far, for tests and profiles
 
@@ -137,7 +137,10 @@
         if not ctx.view.loaded or not ctx.types or not self.ctx.state_ok():
             self._unavailable(request)
             return
-        why = self._never_runs(spec)
+        spec = m.waiting_on(spec, list(dict.fromkeys(spec.waits_on)))
+        everything = tasksets.encode(set(range(spec.tasks)))
+        job = records.JobRecord(m.QUEUED, spec.tasks, spec, 0, records.Chunk(everything), ctx.wall_us)
+        why = self._never_runs(spec) if ctx.fits(job) else "its description is larger than a record may be"
         if why is not None:
             # Not before it is sure that the job is not known: an accepted job never gets 422.
             self._poll(request, uid, absent=(422, {"error": why}))
@@ -155,18 +158,13 @@
                     self._poll(request, uid, spec=spec)
                 return
             # What is done for ever needs no place in the record; a withdrawn one does.
-            spec = m.waiting_on(spec, [u for u in dict.fromkeys(spec.waits_on)
-                                       if (job := ctx.view.job(u)) is not None and job.state != m.DONE])
+            over = {u for u in spec.waits_on if (other := ctx.view.job(u)) is not None and other.state == m.DONE}
+            spec = m.waiting_on(spec, [u for u in spec.waits_on if u not in over])
         shard = self.balancer.shard_for()
         if shard is None:
             self._unavailable(request)
             return
-        everything = tasksets.encode(set(range(spec.tasks)))
-        job = records.JobRecord(m.QUEUED, spec.tasks, spec, shard, records.Chunk(everything), ctx.wall_us)
-        size, most = len(msgspec.json.encode(job)), int(ctx.settings.facts.state.value_kb * 1024)
-        if size > most:
-            self._poll(request, uid, absent=(422, {"error": f"{size} bytes to be kept, of {most} that fit a record"}))
-            return
+        job.shard, job.spec = shard, spec
 
         def done(status: int, failed: list[str]) -> None:
             if status == 200:
@@ -272,16 +270,18 @@
                 self._unavailable(request)
             return
         parts = [records.part_key(s, uid) for s in job.parts if ctx.view.stamp(records.part_key(s, uid))]
+        most = ctx.limits.txn_ops - 1  # nobody reads the parts of a job that is over
         key = records.job_key(uid)
         final = records.final_record(job, m.WITHDRAWN, records.done_count(ctx.view, uid))
 
         def done(status: int, failed: list[str]) -> None:
             if status == 200:
                 log.info("job %s is withdrawn", uid)
+                ctx.sweep(parts[most:])
                 ctx.reply(request, 200, m.job_answer(uid, m.WITHDRAWN))
             elif status == 409 and tries > 1:
                 self.cancels.append((request, uid, tries - 1, ctx.now_us + 200_000))
             else:
                 self._unavailable(request)
 
-        ctx.txn({key: ctx.view.stamp(key)}, {key: (final, None)}, parts, done, Urgency.USER)
+        ctx.txn({key: ctx.view.stamp(key)}, {key: (final, None)}, parts[:most], done, Urgency.USER)
--- a/quinceslip/pipelines/spreading.py
+++ b/quinceslip/pipelines/spreading.py
@@ -24,8 +24,7 @@
         self.graph = graph
         self.owns = owns
         self.writing: set[str] = set()
-        facts = ctx.settings.facts
-        self.gap_us = int(SECOND * facts.size / (PART * facts.state.write_rps))
+        self.gap_us = int(SECOND * ctx.settings.facts.size / (PART * ctx.limits.write_rps))
         self.next_us = 0
 
     def tick(self) -> None:
--- a/quinceslip/protocol/messages.py
+++ b/quinceslip/protocol/messages.py
@@ -31,6 +31,8 @@
 PATH_INSPECT = "/inspect"
 PATH_DO, PATH_FLAVORS, PATH_HOSTS, PATH_HOSTS_DELETE = "/do", "/flavors", "/hosts", "/hosts/delete"
 PATH_TXN, PATH_HOLDS, PATH_KV = "/txn", "/holds", "/kv"
+#: in the 400 to a transaction whose lease has ended (PROTOCOL); any other 400 refuses the transaction itself
+NO_LEASE = b"no such lease"
 CANCEL_END = "/cancel"
 
 
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -53,11 +53,32 @@
     cancel_s: Positive
 
 
+class StateNext(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on, without notice; what is missing stays."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=1)] | None = None
+
+
 class StateFacts(msgspec.Struct, frozen=True):
+    """Requests and changes a second, KiB of a value, changes of a transaction (four times as many conditions)."""
+
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=1)]
+    next: StateNext = StateNext()
+
+    def lasting(self) -> "StateFacts":
+        """Limits that hold now and after the announced change: the lesser of each. Nothing may rest on others."""
+        def least(now: float, later: float | None) -> float:
+            return now if later is None else min(now, later)
+
+        later = self.next
+        return StateFacts(least(self.rps, later.rps), least(self.write_rps, later.write_rps),
+                          least(self.value_kb, later.value_kb), int(least(self.txn_ops, later.txn_ops)))
 
 
 class CloudFacts(msgspec.Struct, frozen=True):
--- a/quinceslip/quota/keeper.py
+++ b/quinceslip/quota/keeper.py
@@ -143,7 +143,7 @@
                      done, Urgency.REST)
 
     def _most(self) -> int:
-        return self.ctx.settings.facts.state.txn_ops
+        return self.ctx.limits.txn_ops
 
     # Taking from the pools.
 
@@ -205,7 +205,7 @@
         own = {purse.key: list(short) for purse, lack in self._own_lacks(index, gate).items()
                if any(short := self._beyond_pool(index, purse, lack))}
         record = WantRecord(wanted, dict(list(own.items())[:MOST_CLAIMS])) if wanted or own else None
-        most_bytes = self.ctx.settings.facts.state.value_kb * 1000
+        most_bytes = self.ctx.limits.value_kb * 1000
         # Bound: the claims; each turn drops one.
         while record is not None and record.claims and len(msgspec.json.encode(record)) > most_bytes:
             record.claims.pop()  # deep trees with long names: the rest comes when these are met
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -33,11 +33,12 @@
     def __init__(self, settings: Settings, tuning: Tuning, makers: Sequence[Maker] = ()) -> None:
         threading.stack_size(STACK_BYTES)
         facts = settings.facts
+        limits = facts.state.lasting()
         self.settings = settings
         node = Node(settings, tuning, steady_us(), wall_us(), makers)
         self.actor = ActorThread(node.handle, self._carry_out, BEAT_US, inbox=1000)
         post = self.actor.post_sure
-        budget = Budget(facts.state.rps, facts.state.write_rps, facts.size)
+        budget = Budget(limits.rps, limits.write_rps, facts.size)
         self.state = Pool("state", STATE_THREADS, post, budget)
         self.leases = Pool("lease", 2, post)  # renewals never wait behind anything else
         self.cloud = Pool("cloud", 4, post, Budget(facts.cloud.rps, facts.cloud.rps, facts.size))
@@ -64,7 +65,7 @@
                      lambda: node.ctx.part or self.actor.doing, timing.owner_lease_us, timing.worker_lease_us,
                      split_address(settings.outside.state))
         self.watch = Watch(settings.outside.state, post, min(timing.owner_lease_us // 4, SECOND),
-                           pause_us=int(SECOND * facts.size * 4 / facts.state.rps))
+                           pause_us=int(SECOND * facts.size * 4 / limits.rps))
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, Reply):
--- a/tests/inputs.py
+++ b/tests/inputs.py
@@ -59,11 +59,20 @@
     for old, new, named in (("rps = 150.0", "", "rps"), ("size = 1", 'size = "x"', "facts.size"),
                             ("lease_s = 10.0", "lease_s = -1.0", "lease_s"), ('label = "berth-0"', "", "label"),
                             ('state = "127.0.0.1:4"', 'state = "nowhere"', "outside.state"),
-                            ("size = 1", "size = 3", "facts.size")):
+                            ("size = 1", "size = 3", "facts.size"), *(
+                                ("[facts.cloud]", f"[facts.state.next]\n{wrong}\n[facts.cloud]", f"state.next.{named}")
+                                for wrong, named in (("rps = 0", "rps"), ('write_rps = "x"', "write_rps"),
+                                                     ("value_kb = -2.0", "value_kb"), ("txn_ops = 0", "txn_ops"),
+                                                     ("txn_ops = 2.5", "txn_ops")))):
         bad = tmp / "bad.toml"
         bad.write_text(settings_text().replace(old, new, 1))
         with pytest.raises(SettingsError, match=named):
             load_settings(bad)
+    assert load_settings(good).facts.state.lasting() == load_settings(good).facts.state
+    for announced, lasting in (("txn_ops = 5\nvalue_kb = 2\nlater = 1", (150.0, 20.0, 2.0, 5)),
+                               ("rps = 90.5\nwrite_rps = 30", (90.5, 20.0, 16.0, 16))):
+        good.write_text(settings_text().replace("[facts.cloud]", f"[facts.state.next]\n{announced}\n[facts.cloud]"))
+        assert msgspec.structs.astuple(load_settings(good).facts.state.lasting())[:4] == lasting
     ini = tmp / "own.ini"
     ini.write_text("[quinceslip]\nload_record_s = 7\n")
     assert load_tuning(ini).load_record_s == 7.0
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -168,6 +168,8 @@
                 self.facts["size"] = given
             elif key == "list_lag":
                 self.facts["cloud"]["list_lag_s"] = float(given)
+            elif key.startswith("next_"):
+                self.facts["state"].setdefault("next", {})[key.removeprefix("next_")] = given
             else:
                 self.facts["workers"][key + "_s"] = given
 
@@ -469,6 +471,15 @@
         """page_gap S: a listing of the records is read in pages, so long after one another"""
         self.w().state.page_gap_us = int(float(args[0]) * US)
 
+    def on_state_limits(self, args: list[str], named: dict[str, Any]) -> None:
+        """state_limits value_kb=N txn_ops=N: larger values and transactions are answered 400 from now on"""
+        self.w().state.limits = dict(named.items())
+
+    def check_too_large(self, args: list[str], named: dict[str, Any]) -> None:
+        """too_large OP N: changes that the state service refused for its limits; never the same ones again"""
+        refused = self.w().state.too_large
+        assert COMPARE[args[0]](len(refused), int(args[1])) and len(set(refused)) == len(refused), refused[:3]
+
     def on_slow_commands(self, args: list[str], named: dict[str, Any]) -> None:
         """slow_commands WORKER|... S there=MOST back=MOST: direct commands, or their answers, are held up alone"""
         there_s, back_s = float(named.get("there", 0)), float(named.get("back", 0))
--- a/tests/world.py
+++ b/tests/world.py
@@ -124,6 +124,8 @@
         self.hand_over_lost: dict[str, int] = {}  # controller -> how long its watch hangs then
         self.slow: dict[str, tuple[int, int]] = {}  # controller -> (until, most that an answer takes)
         self.page_gap_us = 0  # a listing comes in pages, with so long between two of them
+        self.limits: dict[str, float] = {}  # lower ones than the settings', since some moment
+        self.too_large: list[str] = []  # changes that were refused for them
         self.puts = 0  # on job records and their parts
         self.second: dict[int, int] = {}  # the same in each second
         self.grants = 0  # changes of quotas' records
@@ -181,7 +183,15 @@
         ops = body.get("then", [])
         if any(op.get("hold") is not None and op["hold"] not in self.holds for op in ops):
             return 400, {"error": "no such lease"}
-        assert len(ops) <= self.world.facts["state"]["txn_ops"], "too many changes"
+        facts = self.world.facts["state"]
+        assert len(ops) <= facts["txn_ops"], "too many changes"
+        sizes = [len(json.dumps(op["v"], separators=(",", ":")).encode()) for op in ops if "write" in op]
+        assert max(sizes, default=0) <= facts["value_kb"] * 1024, "too large a value"
+        most = self.limits.get("txn_ops", facts["txn_ops"])
+        if len(ops) > most or len(body["if"]) > 4 * most or max(sizes, default=0) > 1024 * self.limits.get(
+                "value_kb", facts["value_kb"]):
+            self.too_large.append(json.dumps(ops))
+            return 400, {"error": "over the limits"}
         if ops:
             self.ledger += 1
         kinds = [(op.get("write") or op["drop"]).split("/")[1] for op in ops]
