A gate for what no two versions may do side by side; jobs that wait for others are behind it

Need: controllers get a new version a few at a time, and both serve meanwhile. What the old one can't read or keep must wait until all have the new one, and then begin for all. Change: quinceslip/rollout. Each controller says in supports/<label>, under its lease, which level it supports; the first that sees all of them at a level writes it to `rollout`, on condition of all these records and its own. Context.allows(level) reads the view alone. A word ends with its process, so an earlier version started in its place is not counted; why that and not a record that stays is in gate.py. Until the gate is open a submission that waits for others gets 503.

--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -95,6 +95,8 @@
         self.next_id = 0
         self.types: dict[str, messages.MachineType] = {}
         self.changed: Callable[[Iterable[str]], None] = lambda keys: None
+        #: whether all controllers act by a level (`quinceslip.rollout`)
+        self.allows: Callable[[int], bool] = lambda level: False
         self.state_ok_us = 0
         self.state_bad_us = 0
         self.timeout_us = micros(tuning.request_timeout_s)
--- a/quinceslip/coordination/node.py
+++ b/quinceslip/coordination/node.py
@@ -29,6 +29,7 @@
 from quinceslip.protocol import frames
 from quinceslip.protocol import messages as m
 from quinceslip.protocol.settings import Settings, Tuning
+from quinceslip.rollout.gate import Rollout
 from quinceslip.storage import records
 
 log = logging.getLogger(__name__)
@@ -46,6 +47,8 @@
         self.home = self.labels.index(settings.label)
         self.shards: dict[int, Shard] = {}
         self.ownership = Ownership(self.ctx, self.home, self._gained, self._lost)
+        self.rollout = Rollout(self.ctx, self.ownership, self.labels)
+        self.ctx.allows = self.rollout.open
         self.subsystems = [make(self.ctx, self.ownership, self.shards) for make in makers]
         for subsystem in self.subsystems:
             self.ctx.view.know(subsystem.kinds)
@@ -162,7 +165,8 @@
     def _tick(self) -> None:
         """Every part on its own: a defect in one of them costs that part its turn and nothing else."""
         for name, part in (("refused", self.ctx.tell_spared), ("rights", self.ownership.tick),
-                           ("shards", self._tick_shards), ("machines", self.provision.tick), ("beat", self._tick_beat),
+                           ("rollout", self.rollout.tick), ("shards", self._tick_shards),
+                           ("machines", self.provision.tick), ("beat", self._tick_beat),
                            ("balance", self.balancer.tick), ("peers", self._tick_seldom),
                            *((type(s).__name__, s.tick) for s in self.subsystems), ("users", self.users.tick),
                            ("withdrawals", self.spreader.tick)):
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -12,6 +12,7 @@
 from quinceslip.coordination.shard import Shard
 from quinceslip.coordination.subsystem import Subsystem
 from quinceslip.protocol import messages as m
+from quinceslip.rollout import PIPELINES
 from quinceslip.storage import records, tasksets
 
 log = logging.getLogger(__name__)
@@ -75,10 +76,6 @@
         else:
             self._cancel(request.request, request.uid, 3)
 
-    def pipelines_open(self) -> bool:
-        """Whether every controller knows of jobs that wait for others."""
-        return True
-
     def _unavailable(self, request: int) -> None:
         self.ctx.reply(request, 503, {"error": "cannot decide yet"}, **{"Retry-After": "1"})
 
@@ -146,7 +143,7 @@
             self._poll(request, uid, absent=(422, {"error": why}))
             return
         if spec.waits_on:
-            if not self.pipelines_open():
+            if not ctx.allows(PIPELINES):
                 self._unavailable(request)  # some controller may still run a version that does not know of it
                 return
             why = self._waits_wrongly(spec)
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -11,6 +11,8 @@
   standstill/<label>   where the actor of that controller last stood still, and how often in a row
   stray/<label>        how many workers of which shards came to that controller in vain, while some do
   types                the machine types, for nodes that start while the cloud is away
+  supports/<label>     the level that the controller's version supports; attached to its lease (`rollout/gate.py`)
+  rollout              the level that all controllers act by; it only rises
 """
 
 import logging
@@ -27,6 +29,7 @@
 PREFIX = "q/"
 TERM = PREFIX + "term"
 TYPES = PREFIX + "types"
+ROLLOUT = PREFIX + "rollout"
 #: never written: asking for it returns the ledger and nothing else
 NOTHING = "none"
 
@@ -55,6 +58,10 @@
     return f"{PREFIX}stray/{label}"
 
 
+def supports_key(label: str) -> str:
+    return f"{PREFIX}supports/{label}"
+
+
 def load_key(shard: int) -> str:
     return f"{PREFIX}load/{shard}"
 
@@ -128,14 +135,24 @@
     strays: list[tuple[int, int]]
 
 
+class SupportsRecord(msgspec.Struct):
+    level: int
+
+
+class LevelRecord(msgspec.Struct):
+    level: int
+
+
 KINDS: dict[str, Any] = {
     "term": TermRecord, "shard": ShardRecord, "job": JobRecord, "part": Chunk,
     "roster": RosterRecord, "hire": HireRecord, "load": LoadRecord, "types": list[MachineType],
     "standstill": StandstillRecord, "stray": StrayRecord,
+    "supports": SupportsRecord, "rollout": LevelRecord,
 }
 
-#: kinds that nothing rests on: one that can't be read is as good as none, and must not cost those beside it
-ADVISORY = frozenset({"load", "standstill", "stray"})
+#: kinds that nothing rests on: one that can't be read is as good as none, and must not cost those beside it.
+#: Without what a controller supports its gate stays shut; the level itself is not among them.
+ADVISORY = frozenset({"load", "standstill", "stray", "supports"})
 
 
 class View:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -257,9 +257,28 @@
     return [*lines, f"at {at_s + draw(tenths(20, 45)):.2f} {draw(st.sampled_from(['hang third 9', 'take busiest']))}"]
 
 
+def pipelines(draw: Draw, at_s: float) -> list[str]:
+    """Jobs that wait for others, of any shape, some cancelled at awkward moments, while owners change."""
+    lines = []
+    for place in range(draw(st.integers(3, 9))):
+        before = [f"req-{4000 + n:06d}" for n in range(place)] + JOBS[2:4]
+        needs = draw(st.lists(st.sampled_from(before), max_size=3))
+        after = f" after={','.join(needs)}" if needs else ""
+        lines.append(f"at {max(2.5, at_s - 6) + 0.3 * place:.2f} submit req-{4000 + place:06d} "
+                     f"tasks={draw(st.integers(1, 6))} run={draw(st.sampled_from([1, 3, 8]))}{after} "
+                     f"rank={draw(st.sampled_from(['low', 'normal', 'urgent']))} dueS={draw(st.sampled_from([30, 90]))}")
+        if draw(st.integers(0, 3)) == 0:
+            lines.append(f"at {at_s + draw(tenths(-3, 20)):.2f} cancel req-{4000 + place:06d} by={draw(OTHERS)}")
+    for _ in range(draw(st.integers(0, 3))):
+        who = draw(st.sampled_from(["berth-0", "berth-1", "berth-0 berth-1 berth-2"]))
+        lines.append(f"at {at_s + draw(tenths(0, 25)):.2f} crash {who} back={draw(BACK)}")
+    return [*lines, *([f"at {at_s:.2f} late all 20 at_once share=0.4"] if draw(st.booleans()) else []),
+            *([f"at {at_s:.2f} cancel_at_end 30 share=0.3"] if draw(st.booleans()) else [])]
+
+
 SECOND_PAGE: list[Callable[[Draw, float], list[str]]] = [
     limits, looks, muted, unanswered, for_the_next, fresh, hands, island, leaders, crowd, singles, one_zone,
-    handed_over]
+    handed_over, pipelines]
 MEETINGS: list[Callable[[Draw, float], list[str]]] = [
     gap, slow, cut_leader, change, old_reports, unreached, commands, late, back, *SECOND_PAGE]
 
@@ -301,6 +320,17 @@
     return day(draw, [draw(st.sampled_from(SECOND_PAGE)), draw(st.sampled_from(MEETINGS))])
 
 
+@st.composite
+def pipeline_days(draw: Draw) -> str:
+    return day(draw, [pipelines, draw(st.sampled_from(MEETINGS))])
+
+
+@given(pipeline_days())
+@days
+def test_pipelines_among_troubles(text: str) -> None:
+    play(text)
+
+
 @given(second_page())
 @days
 def test_the_second_page(text: str) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -51,6 +51,7 @@
 from quinceslip.protocol.settings import SettingsError, Tuning
 from quinceslip.quota.model import explore
 from quinceslip.quota.plots import merged
+from quinceslip.rollout import PIPELINES
 from quinceslip.standstill import notes
 from quinceslip.standstill.judge import Judge, Look
 from quinceslip.storage import tasksets
@@ -139,6 +140,7 @@
         self.slowest_us = 0  # of all polls that were answered
         self.errors: list[str] = []  # what controllers logged as errors
         self.errors_expected: list[str] = []
+        self.old: list[str] = []  # controllers that start with the version before
 
     def line(self, text: str) -> None:
         words = shlex.split(text, comments=True)
@@ -226,6 +228,10 @@
         """errors TEXT: such lines may be in the log; any other line at this level fails the scenario"""
         self.errors_expected.append(" ".join(plain))
 
+    def do_old(self, plain: list[str], named: dict[str, Any]) -> None:
+        """old NAME...: these start with the version before this one"""
+        self.old += plain
+
     def do_unserved(self, plain: list[str], named: dict[str, Any]) -> None:
         """unserved WHY: capacity, caps or priorities keep part of the work from ever being served"""
         self.excused = " ".join(plain)
@@ -238,6 +244,8 @@
             if not self.types:
                 self.do_type(["m"], {})
             self.world = World(self.facts, self.types, self.seed, self.operators)
+            for name in self.old:
+                self.world.hosts[name].old = True
             if self.full:
                 self.world.cloud.capacity = 0
             for count, kind, zone, spot in self.initial:
@@ -333,7 +341,11 @@
                 self.reasons[uid] = body
 
         def attempt() -> None:
-            if not settled[0] and world.now_us < until_us:
+            # Users name what was accepted: they wait for that, save where no such job is ever submitted.
+            if any(u in world.jobs and u != uid and u not in world.checker.accepted and u not in self.reasons
+                   for u in given.get("waitsOn", ())) and world.now_us < until_us:
+                world.after(US // 5, attempt)
+            elif not settled[0] and world.now_us < until_us:
                 self.ask("submit", uid, heard, spec, by)
                 world.after(2 * US, attempt)
 
@@ -433,6 +445,16 @@
             if "back" in named:
                 self.w().after(named["back"] * US, host.start)
 
+    def on_upgrade(self, args: list[str], named: dict[str, Any], old: bool = False) -> None:
+        """upgrade NAME... back=S: processes end, and come back with this version"""
+        for name in args:
+            self.w().hosts[name].old = old
+        self.on_crash(args, named)
+
+    def on_downgrade(self, args: list[str], named: dict[str, Any]) -> None:
+        """downgrade NAME... back=S: processes end, and come back with the version before"""
+        self.on_upgrade(args, named, old=True)
+
     def on_start(self, args: list[str], named: dict[str, Any]) -> None:
         self.w().hosts[args[0]].start()
 
@@ -475,6 +497,16 @@
         """state_limits value_kb=N txn_ops=N: larger values and transactions are answered 400 from now on"""
         self.w().state.limits = dict(named.items())
 
+    def check_gate(self, args: list[str], named: dict[str, Any]) -> None:
+        """gate open|shut: at all controllers of this version that are up"""
+        found = {h.label: h.node.ctx.allows(PIPELINES) for h in self.w().hosts.values() if h.node and not h.old}
+        assert found and set(found.values()) == {args[0] == "open"}, found
+
+    def check_asked(self, args: list[str], named: dict[str, Any]) -> None:
+        """asked KEY OP N: how often a change of a record was asked for, whatever came of it"""
+        count = self.w().state.asked_keys.get("q/" + args[0], 0)
+        assert COMPARE[args[1]](count, int(args[2])), f"{args[0]}: {count}"
+
     def check_too_large(self, args: list[str], named: dict[str, Any]) -> None:
         """too_large OP N: changes that the state service refused for its limits; never the same ones again"""
         refused = self.w().state.too_large
--- a/tests/world.py
+++ b/tests/world.py
@@ -126,6 +126,7 @@
         self.page_gap_us = 0  # a listing comes in pages, with so long between two of them
         self.limits: dict[str, float] = {}  # lower ones than the settings', since some moment
         self.too_large: list[str] = []  # changes that were refused for them
+        self.asked_keys: dict[str, int] = {}  # how often a change of a key was asked for, whatever came of it
         self.puts = 0  # on job records and their parts
         self.second: dict[int, int] = {}  # the same in each second
         self.grants = 0  # changes of quotas' records
@@ -154,6 +155,9 @@
         return self.world.now_us >= max(self.down_until_us, self.refused.get(who, 0))
 
     def answer(self, who: str, method: str, path: str, body: Any) -> tuple[int, Any]:
+        for op in body.get("then", []) if path == "/txn" else ():
+            key = op.get("write") or op["drop"]
+            self.asked_keys[key] = self.asked_keys.get(key, 0) + 1
         if not self.reachable(who):
             return 503, {"error": "unavailable"}
         if path == "/txn":
@@ -526,6 +530,7 @@
     def __init__(self, world: World, label: str) -> None:
         self.world, self.label = world, label
         self.node: Node | None = None
+        self.old = False  # the version before this one, which says nothing of what it supports
         self.life = 0
         self.waiting: dict[int, Callable[[int, Any], None]] = {}
         self.next_request = 0
@@ -546,6 +551,7 @@
         self.life += 1
         self.waiting.clear()
         self.node = Node(settings, Tuning(), self.world.now_us, self.world.now_us, makers(settings, self.operators))
+        self.node.rollout.level *= not self.old
         self._beat(self.life)
         self._list(self.life)
 
