--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -266,7 +266,7 @@
         after = f" after={','.join(needs)}" if needs else ""
         lines.append(f"at {max(2.5, at_s - 6) + 0.3 * place:.2f} submit req-{4000 + place:06d} "
                      f"tasks={draw(st.integers(1, 6))} run={draw(st.sampled_from([1, 3, 8]))}{after} "
-                     f"rank={draw(st.sampled_from(['low', 'normal', 'urgent']))} dueS={draw(st.sampled_from([30, 90]))}")
+                     f"rank={draw(st.sampled_from(['low', 'normal', 'urgent']))} dueS={draw(st.sampled_from([30, 9]))}")
         if draw(st.integers(0, 3)) == 0:
             lines.append(f"at {at_s + draw(tenths(0, 20)):.2f} cancel req-{4000 + place:06d} by={draw(OTHERS)}")
     for _ in range(draw(st.integers(0, 3))):
