--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -153,8 +153,11 @@
         inside.deaf_peers_until_us, inside.state_cut = until_us, (until_us, args[3] if args[3:] else "held")
 
     def on_hand_over_unanswered(self, args: list[str], named: dict[str, Any]) -> None:
-        """hand_over_unanswered NAME S: its next hand-over is carried out, the answer is lost, and its watch hangs"""
-        self.w().state.hand_over_lost[args[0]] = int(float(args[1]) * US)
+        """hand_over_unanswered NAME S: its next hand-over is carried out, the answer is lost, and its watch hangs
+
+        `hand_over_unanswered NAME S lost`: it is not carried out either.
+        """
+        self.w().state.hand_over_lost[args[0]] = int(float(args[1]) * US), "lost" in args
 
     def check_handed_over(self, args: list[str], named: dict[str, Any]) -> None:
         """handed_over: that has met"""
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,7 +121,7 @@
         self.late: dict[str, tuple[int, int, int, float]] = {}  # controller -> (until, least, most delay, share)
         self.unanswered: dict[str, tuple[int, float]] = {}  # controller -> (until, share): done at once, answer lost
         self.answers_lost = 0
-        self.hand_over_lost: dict[str, int] = {}  # controller -> how long its watch hangs then
+        self.hand_over_lost: dict[str, tuple[int, bool]] = {}  # controller -> how long its watch hangs then
         self.slow: dict[str, tuple[int, int]] = {}  # controller -> (until, most that an answer takes)
         self.page_gap_us = 0  # a listing comes in pages, with so long between two of them
         self.limits: dict[str, float] = {}  # lower ones than the settings', since some moment
@@ -691,9 +691,13 @@
             until_us, share = world.state.unanswered.get(self.label, (0, 0.0))
             drops = [op.get("drop", "") for op in body.get("then", [])] if effect.path == "/txn" else []
             if any(key.startswith("q/shard/") for key in drops) and self.label in world.state.hand_over_lost:
-                self.watch_hung_until_us = world.now_us + world.state.hand_over_lost.pop(self.label)
+                hung_us, lost = world.state.hand_over_lost.pop(self.label)
+                self.watch_hung_until_us = world.now_us + hung_us
                 until_us, share = world.now_us + 1, 1.0
                 world.handed_over_us = world.now_us
+                if lost:
+                    world.after(effect.timeout_us, lambda: back(0, {}))
+                    return
             if effect.path == "/txn" and world.now_us < until_us and world.random.random() < share:
                 world.state.answers_lost += 1
                 world.after(world.latency(), lambda: world.state.answer(self.label, effect.method, effect.path, body))
