--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -101,7 +101,7 @@
         """A job as it is to be treated, with the priority of what needs it, and when it should be done."""
         urgency, began_us = self.ctx.graph.urgency(uid), max(at_us, self.ctx.graph.ready_us(uid))
         dues = set(due_us(self.ctx.settings.facts.objectives, spec, at_us, began_us))
-        if urgency is None:
+        if urgency is None or not self.ctx.tuning.urge_ancestors:
             return spec, sorted(dues)
         return m.with_priority(spec, min(spec.priority, urgency.rank)), sorted(dues | set(urgency.dues_us))
 
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -127,6 +127,7 @@
     suspect_mistakes: bool = True
     fair_teams: bool = True
     bound_waits: bool = True
+    urge_ancestors: bool = True
     log_level: str = ""
 
 
