Moves and submissions fit the announced limit as they are written

Cause: the check of a submission's size wrote shard 0, which is left out when it is encoded, so a record of another shard could be ten bytes over; a move was checked as it ends, not as it is written. Change: the largest shard number is checked, and what is written as well as what follows from it.

--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -293,10 +293,11 @@
         chunks = {state.index: mine, target: theirs}
         parts = sorted({*job.parts, *(s for s in chunks if s != job.shard)})
         record = msgspec.structs.replace(job, parts=parts, chunk=chunks.get(job.shard, job.chunk))
-        # Guard: what moves must be recordable to the last of its results, and a job's end has a condition on each part.
+        # Guard: what moves must be recordable, now and to the last result; a job's end has a condition on each part.
         ends = {s: msgspec.structs.replace(c, done=c.own) for s, c in chunks.items()}
         last = msgspec.structs.replace(record, chunk=ends.get(job.shard, job.chunk))
-        if len(parts) + 2 > 4 * self.ctx.limits.txn_ops or not all(map(self.ctx.fits, (*ends.values(), last))):
+        values = (record, last, *chunks.values(), *ends.values())
+        if len(parts) + 2 > 4 * self.ctx.limits.txn_ops or not all(map(self.ctx.fits, values)):
             return
         key = self._key(uid)
         puts: dict[str, tuple[Any, int | None]] = {
--- a/quinceslip/coordination/users.py
+++ b/quinceslip/coordination/users.py
@@ -136,7 +136,8 @@
             return
         spec = m.waiting_on(spec, list(dict.fromkeys(spec.waits_on)))
         everything = tasksets.encode(set(range(spec.tasks)))
-        job = records.JobRecord(m.QUEUED, spec.tasks, spec, 0, records.Chunk(everything), ctx.wall_us)
+        last = ctx.settings.facts.size - 1  # of the shards, the longest to write
+        job = records.JobRecord(m.QUEUED, spec.tasks, spec, last, records.Chunk(everything), ctx.wall_us)
         why = self._never_runs(spec) if ctx.fits(job) else "its description is larger than a record may be"
         if why is not None:
             # Not before it is sure that the job is not known: an accepted job never gets 422.
