What comes before an urgent job stops other work once it has to start now

Cause: treated as urgent from its first moment, whatever comes before an urgent job stopped normal work that has deadlines of its own. Change: until its latest start (due time less its own estimated way) it goes among normal work by its due time; then it has its full priority. Ways are planned by the estimates, not by half as much again.

--- a/quinceslip/coordination/context.py
+++ b/quinceslip/coordination/context.py
@@ -26,8 +26,8 @@
 LONGEST_S = 86_400
 #: workers drop the answer to a report after this long (PROTOCOL)
 REPORT_WAIT_US = 4 * SECOND
-#: estimates are often wrong by half: a way is planned so much longer than they say
-WAY_PART = 1.5
+#: a way is planned as the estimates say: longer ones make whatever comes before an urgent job as urgent at once
+WAY_PART = 1.0
 #: so many transactions that the state service refused are remembered, to be sent no second time
 MOST_REFUSED = 1000
 
@@ -86,7 +86,7 @@
         self.timing = Timing(settings)
         self.limits = settings.facts.state.lasting()
         self.view = View()
-        self.graph = Graph(self.view.job, self._urgency, self._way_us)
+        self.graph = Graph(self.view.job, self._urgency, self.way_us)
         self.out: list[Effect] = []
         self.now_us = now_us
         self.wall_offset_us = wall_us - now_us
@@ -116,7 +116,7 @@
             if o.kind == "deadline" and o.job_class == spec.job_class)})
         return JobUrgency(spec.priority, tuple(at_us + micros(due_s) for due_s in dues))
 
-    def _way_us(self, spec: messages.JobSpec) -> int:
+    def way_us(self, spec: messages.JobSpec) -> int:
         """How long a job takes once it may start: its image, its tasks, the writes at both ends."""
         rate = min((t.fetch_gb_per_s for t in self.types.values()), default=1.0)
         return micros(WAY_PART * spec.estimate_s + spec.image_gb / max(rate, 0.01)) + 2 * SECOND
--- a/quinceslip/coordination/recording.py
+++ b/quinceslip/coordination/recording.py
@@ -46,6 +46,7 @@
         self.ctx = state.ctx
         self.open: set[str] = set()  # chunks that may have something to record
         self.arrived = 0
+        self.rising: dict[str, int] = {}  # jobs that are treated as what needs them from then on, by wall clock
         self.writes_per_s = FLUSH_PART * self.ctx.limits.write_rps / self.ctx.settings.facts.size
 
     # From the records.
@@ -103,7 +104,15 @@
         dues = set(due_us(self.ctx.settings.facts.objectives, spec, at_us, began_us))
         if urgency is None or not self.ctx.tuning.urge_ancestors:
             return spec, sorted(dues)
-        return m.with_priority(spec, min(spec.priority, urgency.rank)), sorted(dues | set(urgency.dues_us))
+        rank = urgency.rank
+        if rank < spec.priority and urgency.dues_us:
+            # Guard: it stops other work only once it has to start now to be in time. Until then it goes among normal
+            # work by its due time. Without this, whatever comes before an urgent job stops normal work at once.
+            latest_us = urgency.dues_us[0] - self.ctx.way_us(spec)
+            if self.ctx.wall_us < latest_us:
+                rank = max(rank, min(spec.priority, m.RANKS["normal"]))
+                self.rising[uid] = latest_us
+        return m.with_priority(spec, min(spec.priority, rank)), sorted(dues | set(urgency.dues_us))
 
     def urged(self, uid: str) -> None:
         """What needs a job has changed: it is treated accordingly from here on; what runs of it stays as it is."""
@@ -147,6 +156,9 @@
         What ends a chunk goes at once, since a user waits for it. Other results wait on their workers
         and are lost only together with these, so they go as seldom as the write budget asks.
         """
+        for uid in [u for u, at_us in self.rising.items() if at_us <= self.ctx.wall_us]:
+            del self.rising[uid]
+            self.urged(uid)
         now_us = self.ctx.now_us
         chunks = [c for c in (self.state.chunks.get(u) for u in sorted(self.open)) if c is not None]
         partial = sum(1 for c in chunks if c.new_done)
