--- a/quinceslip/coordination/autoscaling/autoscaler.py
+++ b/quinceslip/coordination/autoscaling/autoscaler.py
@@ -38,7 +38,7 @@
         # Looked up at each call: the controller sets it after this.
         self.headroom = ServiceHeadroom(ctx, lambda: self.quick_service_cpus())  # noqa: PLW0108
         self.planner = ScaleOutPlanner(ctx, self.requests, self.headroom)
-        deregistration = Deregistration(ctx, election)
+        deregistration = Deregistration(ctx, election, shards)
         deletion = MachineDeletion(ctx, self.capacity, deregistration)
         self.inventory = MachineInventory(ctx, election, shards, deletion, deregistration)
         self.scale_in = ScaleIn(ctx, election, self.inventory, deletion, self.headroom)
--- a/quinceslip/coordination/autoscaling/deregistration.py
+++ b/quinceslip/coordination/autoscaling/deregistration.py
@@ -17,9 +17,10 @@
 class Deregistration:
     """Owns what is still in the registry though it is gone."""
 
-    def __init__(self, ctx: Context, election: LeaderElection) -> None:
+    def __init__(self, ctx: Context, election: LeaderElection, shards: dict[int, Shard]) -> None:
         self.ctx = ctx
         self.election = election
+        self.shards = shards
         self.to_deregister: dict[str, int] = {}  # machines that are gone and still in the registry, and their shard
         self.write_open = False
         self.next_write_us = 0
@@ -39,8 +40,11 @@
         self._forget_settled()
         if not self.to_deregister or self.write_open or self.ctx.now_us < self.next_write_us:
             return
-        index = next(iter(self.to_deregister.values()))
-        names = [name for name, shard in self.to_deregister.items() if shard == index][: self.ctx.limits.txn_ops]
+        settled = {name: index for name, index in self.to_deregister.items() if self._is_address_settled(name, index)}
+        if not settled:
+            return
+        index = next(iter(settled.values()))
+        names = [name for name, shard in settled.items() if shard == index][: self.ctx.limits.txn_ops]
         self.write_open = True
         # Guard: carried out late it deletes nothing that has been written since.
         keys = [records.machine_key(name) for name in names]
@@ -48,6 +52,14 @@
         conditions = {**self.election.fencing_condition(index), **mod_revisions}
         self.ctx.compare_and_swap(conditions, {}, keys, self._on_written)
 
+    def _is_address_settled(self, name: str, index: int) -> bool:
+        """Whether nothing that was sent to a machine can be on another one at its address.
+
+        Guard: until then its record stays, so that a successor asks that address as well.
+        """
+        shard = self.shards.get(index)
+        return shard is None or name not in shard.addresses.open
+
     def _forget_settled(self) -> None:
         """Forget machines whose record is deleted, or which another leader answers for."""
         machine_records = self.ctx.cache.by_kind["roster"]
--- a/quinceslip/coordination/autoscaling/inventory.py
+++ b/quinceslip/coordination/autoscaling/inventory.py
@@ -40,7 +40,8 @@
     def list_if_due(self) -> None:
         """Ask for the list when it is due."""
         if self.shards:
-            self.lister.request_if_due()
+            wanted = (shard.addresses.wanted_list_us() for shard in self.shards.values())
+            self.lister.request_if_due(min((at_us for at_us in wanted if at_us is not None), default=None))
 
     def reconcile(self) -> None:
         """Adopt what nobody expected and deregister what is gone; for a controller that may write."""
@@ -62,6 +63,7 @@
         for name in listed:
             self.first_listed_us.setdefault(name, asked_us)
         for shard in self.shards.values():
+            shard.addresses.machines_listed(listed, asked_us)
             for name in list(shard.workers):
                 host = listed.get(name)
                 if host is None:
--- a/quinceslip/coordination/autoscaling/machine_list.py
+++ b/quinceslip/coordination/autoscaling/machine_list.py
@@ -30,15 +30,20 @@
         self.on_listed = on_listed
         self.in_progress = False
         self.next_list_us = 0
+        self.asked_us = 0  # when the last list was asked for
         rate = ctx.settings.facts.cloud.rps / ctx.settings.facts.size
         self.period_us = max(int(SECOND / max(rate * LIST_PART, MIN_LIST_RATE)), MIN_LIST_PERIOD_US)
 
-    def request_if_due(self) -> None:
-        """Ask for the first page, unless a list is on its way."""
-        if self.in_progress or self.ctx.now_us < self.next_list_us:
+    def request_if_due(self, wanted_us: int | None) -> None:
+        """Ask for the first page, unless a list is on its way.
+
+        Somebody waits for a list that was asked for at `wanted_us` or later (None: nobody): it comes up to half a
+        period sooner for that.
+        """
+        if self.in_progress or not self._is_due(wanted_us):
             return
         self.in_progress = True
-        asked_us = self.ctx.now_us
+        self.asked_us = asked_us = self.ctx.now_us
         found: MachinesByName = {}
 
         def on_page(status: int, body: bytes) -> None:
@@ -55,6 +60,13 @@
 
         self._request_page("", on_page)
 
+    def _is_due(self, wanted_us: int | None) -> bool:
+        now_us = self.ctx.now_us
+        if now_us >= self.next_list_us:
+            return True
+        is_wanted = wanted_us is not None and self.asked_us < wanted_us <= now_us
+        return is_wanted and now_us >= self.next_list_us - self.period_us // 2
+
     def _request_page(self, after: str, on_page: Callable[[int, bytes], None]) -> None:
         path = m.machines_path(after)
         self.ctx.call("cloud", "GET", path, None, on_page, timeout_us=REQUEST_TIMEOUT_US, urgency=Urgency.REST)
--- a/quinceslip/coordination/autoscaling/unmet_demand.py
+++ b/quinceslip/coordination/autoscaling/unmet_demand.py
@@ -1,5 +1,6 @@
 """Waiting tasks that neither a booting machine nor one that is being rented will take."""
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -97,12 +98,14 @@
     """Demand that remains once the coming machines have taken what they can; their free resources go down."""
     unmet: dict[DemandKey, UnmetDemand] = {}
     claimed_quota: dict[int, tuple[int, int, int, int]] = {}
-    for partition in shard.waiting_in_order():
+    kept = _kept_tasks(shard)
+    for partition in _partitions_in_order(shard, kept):
         spec = partition.spec
         # Tasks that pause after a failure need no machine: a job that crashes in a loop would rent many.
         waiting = partition.startable()
         if shard.quota is not None:
             waiting = shard.quota.startable(spec, waiting, claimed_quota)
+        waiting += kept[partition.job_id]
         if waiting <= 0:
             continue
         eligible_zones = shard.placement.eligible_zones(partition)
@@ -117,3 +120,19 @@
             key = DemandKey(spec.zone or "", spec.spot, spec.service or spec.gang)
             unmet.setdefault(key, UnmetDemand(partition)).add(spec, waiting)
     return unmet
+
+
+def _kept_tasks(shard: Shard) -> Counter[str]:
+    """How many tasks of each job will wait once the addresses of lost workers are settled: they count already.
+
+    Quotas count them as long as they are kept, so they are asked of no quota again.
+    """
+    return Counter(attempt.job_id for attempt in shard.kept_attempts if not attempt.stopping)
+
+
+def _partitions_in_order(shard: Shard, kept: Counter[str]) -> list[JobPartition]:
+    """The partitions that wait, in order of service, then those of which all tasks that will wait are kept."""
+    waiting = shard.waiting_in_order()
+    known = {partition.job_id for partition in waiting} if kept else set()
+    others = [shard.partitions[job_id] for job_id in kept if job_id in shard.partitions and job_id not in known]
+    return waiting + others
--- a/quinceslip/coordination/controller/shard_hand_over.py
+++ b/quinceslip/coordination/controller/shard_hand_over.py
@@ -63,7 +63,7 @@
         steady_us = self.ctx.now_us - max(peer.alive_since_us, shard.led_since_us)
         if steady_us <= STEADY_WORKER_LEASES * self.ctx.timing.worker_lease_us:
             return False
-        return not shard.unreconciled and all(map(_is_settled, shard.workers.values()))
+        return not shard.unreconciled and not shard.addresses.open and all(map(_is_settled, shard.workers.values()))
 
     def _hand_over_one_out_of_contact(self) -> None:
         """Hand over a shard whose workers reach peers and not this controller."""
--- a/quinceslip/coordination/jobs/partition_mover.py
+++ b/quinceslip/coordination/jobs/partition_mover.py
@@ -106,7 +106,7 @@
     def _used_zones(self, job_id: str) -> set[str]:
         """Zones of the workers that may have tasks of a job."""
         attempts = self.state.attempts_by_job.get(job_id, ())
-        workers = (self.state.workers.get(attempt.worker) for attempt in attempts)
+        workers = (self.state.worker_of(attempt) for attempt in attempts)
         return {worker.zone for worker in workers if worker is not None}
 
     # The move.
--- a/quinceslip/coordination/reconciliation/__init__.py
+++ b/quinceslip/coordination/reconciliation/__init__.py
@@ -9,6 +9,8 @@
 How are reported tasks matched with known attempts?             `attempts`
 What follows from the state and the end of an attempt?          `attempt_outcomes`
 What makes a launch safe?                                       `launch_safety`
+Who may have a launch that was sent to a lost worker?           `address_checks`
+How is the machine at its address asked, and told to stop it?   `address_probes`
 How is a stop or a cancellation confirmed at a worker?          `stop_commands`
 What becomes of a reported task that nobody knows?              `unknown_tasks`
 What does the answer to a heartbeat say?                        `heartbeat_commands`
--- a/quinceslip/coordination/reconciliation/attempt_outcomes.py
+++ b/quinceslip/coordination/reconciliation/attempt_outcomes.py
@@ -35,6 +35,7 @@
     def update(self, worker: Worker, attempt: Attempt, status: m.TaskStatus) -> None:
         """Take the reported state of an attempt; nothing changes one that has ended."""
         if attempt.end_cause:
+            self.state.release_if_settled(worker, attempt)
             return
         if status.state not in (m.PULLING, m.EXITED):
             if not attempt.running_us:
@@ -58,8 +59,8 @@
         partition = self.state.partitions.get(attempt.job_id)
         if partition is None or partition.attempts.get(attempt.index) is not attempt:
             return
-        del partition.attempts[attempt.index]
         if cause == m.CAUSE_DONE:
+            del partition.attempts[attempt.index]
             partition.unrecorded_done.add(attempt.index)
             partition.unreconciled.discard(attempt.index)  # final, whatever the other workers report
             self.on_completed(worker, attempt, partition)
@@ -68,7 +69,7 @@
             self._pause(partition, attempt.index, GANG_RETRY_US)
         elif cause != m.CAUSE_HALTED:
             self._failed(worker, attempt, partition)
-        self.state.add_pending(partition, [attempt.index])
+        self.state.release_if_settled(worker, attempt)
 
     def _failed(self, worker: Worker, attempt: Attempt, partition: JobPartition) -> None:
         """Retry elsewhere, later each time: a job in a crash loop fails on every machine."""
--- a/quinceslip/coordination/reconciliation/attempts.py
+++ b/quinceslip/coordination/reconciliation/attempts.py
@@ -36,7 +36,7 @@
     def drop_all(self, worker: Worker) -> None:
         """Forget all that was on a worker: its epoch is over. What had not ended waits for a machine again."""
         for name, attempt in list(worker.attempts.items()):
-            if not attempt.end_cause:
+            if not attempt.end_cause or self.state.is_current(attempt):
                 self.state.requeue(worker, attempt)
             self.state.detach(worker, name)
         worker.reported_tasks = {}
@@ -78,4 +78,5 @@
                     level = logging.ERROR if worker.fenced else logging.INFO
                     log.log(level, "task vanished task=%s worker=%s", name, worker.name)
                     self.state.requeue(worker, attempt)
+                self.state.release_if_settled(worker, attempt)
                 self.state.detach(worker, name)
--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -47,18 +47,21 @@
         for attempt in launches:
             attempt.direct_call_open = True
         worker.command_open = True
-        term = self.state.term
 
         def on_reply(status: int, body: bytes) -> None:
             worker.command_open = False
             for attempt in launches:
                 attempt.direct_call_open = False
                 if status not in SETTLED_STATUSES:
-                    attempt.unanswered_term = term
+                    # Our term of now, not of then: whoever shows a later one has seen it after the call was given up.
+                    attempt.unanswered_term = self.state.term
+                    attempt.given_up_us = self.ctx.now_us
             if status in HEARTBEAT_STATUSES:
                 self._receive_reply(worker, launches, status, body)
 
-        self.ctx.call(worker.endpoint, "POST", m.PATH_DO, m.DirectCommands(term, worker.epoch, commands), on_reply)
+        self.ctx.call(
+            worker.endpoint, "POST", m.PATH_DO, m.DirectCommands(self.state.term, worker.epoch, commands), on_reply
+        )
 
     @staticmethod
     def _accepts_calls(worker: Worker) -> bool:
@@ -79,6 +82,8 @@
 
     def _receive_reply(self, worker: Worker, launches: list[Attempt], status: int, body: bytes) -> None:
         heartbeat = self.replies.decode(worker, body)
+        if status == HTTPStatus.OK and (heartbeat is None or heartbeat.worker != worker.name):
+            self._mark_answered_by_other(launches)
         if heartbeat is None:
             return
         if status == HTTPStatus.OK and launches and heartbeat.worker != worker.name:
@@ -86,11 +91,18 @@
         if self.state.workers.get(worker.name) is worker:
             self.replies.receive(worker, heartbeat)
 
+    def _mark_answered_by_other(self, launches: list[Attempt]) -> None:
+        """Note that somebody else than their worker has carried launches out."""
+        for attempt in launches:
+            attempt.answered_by_other = True
+            attempt.given_up_us = self.ctx.now_us
+
     def _revoke_launches(self, endpoint: str, launches: list[Attempt], heartbeat: m.WorkerHeartbeat) -> None:
         """Stop launches that another machine at the same address has carried out, at once, before they begin.
 
-        Guard: a machine may be back as another one at its address, in the same epoch as the one before. What was
-        sent to the old one stays pinned to it and starts elsewhere once that is gone.
+        A machine may be back as another one at its address, in the same epoch as the one before. This saves work and
+        proves nothing: the stop may be lost, or refused by a machine that obeys another leader by now. What holds the
+        tasks back is that their address is not settled (`AddressChecks`).
         """
         log.info("launches revoked worker=%s count=%d", heartbeat.worker, len(launches))
         stops = [m.stop(a.name, a.number, 0.0) for a in launches]
--- a/quinceslip/coordination/reconciliation/reconciler.py
+++ b/quinceslip/coordination/reconciliation/reconciler.py
@@ -16,6 +16,7 @@
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.actor.timing import micros
 from quinceslip.coordination.leadership.election import LeaderElection
+from quinceslip.coordination.reconciliation.address_checks import AddressChecks
 from quinceslip.coordination.reconciliation.attempt_outcomes import AttemptOutcomes
 from quinceslip.coordination.reconciliation.attempts import AttemptReconciler
 from quinceslip.coordination.reconciliation.inherited_workers import InheritedWorkers
@@ -38,6 +39,7 @@
         super().__init__(ctx, election, index, term)
         self._leases = WorkerLeases(self)
         self._inherited = InheritedWorkers(self, term)
+        self.addresses = AddressChecks(self, term, self._inherited.reconcile)
         outcomes = AttemptOutcomes(self, self.task_started, self.task_completed)
         self._attempts = AttemptReconciler(self, outcomes)
         self.retrying = outcomes.retrying  # jobs with tasks that pause after a failure
@@ -116,6 +118,7 @@
         """
         if worker.epoch:
             log.info("worker epoch ended worker=%s epoch=%d", worker.name, worker.epoch)
+            self.addresses.epoch_ended(worker)
             self._attempts.drop_all(worker)
             if "session" not in self.guards:
                 self._inherited.reconcile(worker)
@@ -135,10 +138,15 @@
     # Ends of workers.
 
     def expire_lease(self, worker: Worker) -> None:
-        """Nothing of this leader or an earlier one can be on a worker: its lease has run out, or it is gone."""
+        """Nothing of this leader or an earlier one can be on a worker: its lease has run out, or it is gone.
+
+        Another machine may have the worker's address, and have what was sent there: `addresses` keeps what may be.
+        """
+        self.addresses.worker_lost(worker)
         self._attempts.drop_all(worker)
         worker.lease_expired = True
-        self._inherited.reconcile(worker)
+        if worker.name not in self.addresses.open:
+            self._inherited.reconcile(worker)
 
     def machine_gone(self, name: str) -> None:
         """Forget a worker whose machine is proven gone."""
--- a/quinceslip/coordination/scheduling/placement.py
+++ b/quinceslip/coordination/scheduling/placement.py
@@ -39,8 +39,8 @@
         return self.examined.total
 
     def eligible_zones(self, partition: JobPartition) -> set[str] | None:
-        """Zones in which one more task may run (None: any): see `zone_constraints`."""
-        return zone_constraints.eligible_zones(self.state, partition)
+        """Zones in which more machines are of use to the job, once the tasks that are kept wait as well; None: any."""
+        return zone_constraints.eligible_zones(self.state, partition, count_kept=False)
 
     def slow_fetch(self, worker: Worker, spec: m.JobSpec) -> bool:
         """Whether the fetch of the image there takes too long: see `machine_preference`."""
--- a/quinceslip/coordination/scheduling/zone_constraints.py
+++ b/quinceslip/coordination/scheduling/zone_constraints.py
@@ -12,10 +12,11 @@
     return (spec.tasks + 1) // 2
 
 
-def eligible_zones(state: ShardState, partition: JobPartition) -> set[str] | None:
+def eligible_zones(state: ShardState, partition: JobPartition, count_kept: bool = True) -> set[str] | None:
     """Zones that `together` and `spread` leave for one more task; None: any.
 
-    Every task that may still be somewhere counts, whichever shard has its partition.
+    Every task that may still be somewhere counts, whichever shard has its partition; without `count_kept` not those
+    that are kept until the address of a lost worker is settled, for whoever asks what is needed then.
     """
     spec = partition.spec
     if not (spec.one_zone or spec.spread):
@@ -23,7 +24,7 @@
     others = _unfinished_partitions_elsewhere(state, partition)
     if partition.unreconciled or partition.indeterminate or (others and not _zones_disjoint(partition, others)):
         return set()  # some of its tasks may be anywhere: wait until it is known
-    running = _possibly_running_by_zone(state, partition)
+    running = _possibly_running_by_zone(state, partition, count_kept)
     zones = set(partition.zones or state.ctx.settings.facts.zones)
     if spec.one_zone:
         zones &= set(running) or zones
@@ -57,9 +58,10 @@
     )
 
 
-def _possibly_running_by_zone(state: ShardState, partition: JobPartition) -> dict[str, int]:
+def _possibly_running_by_zone(state: ShardState, partition: JobPartition, count_kept: bool) -> dict[str, int]:
     """How many tasks of the job may still be on machines of this shard, by zone."""
     counts: dict[str, int] = {}
-    for worker, _ in state.possibly_running(partition.job_id):
-        counts[worker.zone] = counts.get(worker.zone, 0) + 1
+    for worker, attempt in state.possibly_running(partition.job_id):
+        if count_kept or attempt not in state.kept_attempts:
+            counts[worker.zone] = counts.get(worker.zone, 0) + 1
     return counts
--- a/quinceslip/coordination/shard/shard.py
+++ b/quinceslip/coordination/shard/shard.py
@@ -112,6 +112,8 @@
     def tick(self) -> None:
         """Do what is due by the clock."""
         self.silence_check.tick()
+        self.addresses.review()
+        self.command_sender.probe_addresses()
         if self.ctx.now_us >= self.next_deadline_order_us:
             self.next_deadline_order_us = self.ctx.now_us + DEADLINE_ORDER_INTERVAL_US
             self._update_deadline_order()
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -26,7 +26,7 @@
 CAUSE_LOST = "lost"
 
 #: safety checks that keep a task from being in two places; `quinceslip model takeover` leaves out one at a time
-ALL_GUARDS = frozenset({"unknown", "higher", "term", "session", "settled", "pinned", "recorded"})
+ALL_GUARDS = frozenset({"unknown", "higher", "term", "session", "settled", "pinned", "recorded", "address"})
 
 
 class ShardState:
@@ -52,6 +52,7 @@
         self.queued: dict[str, JobPartition] = {}  # partitions that have had waiting tasks lately, by job
         self.queue_order: list[JobPartition] | None = None  # the same in order, where nothing has changed it since
         self.attempts_by_job: dict[str, set[Attempt]] = {}  # those that may still be on machines
+        self.kept_attempts: dict[Attempt, Worker] = {}  # those whose worker is lost, and that may be at its address
         self.quota: QuotaPolicy | None = None  # where quotas are switched on
 
     # Attempts.
@@ -87,6 +88,9 @@
             return
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, -1)
+        self._forget_attempt(attempt)
+
+    def _forget_attempt(self, attempt: Attempt) -> None:
         if self.quota is not None:
             self.quota.attempt_removed(attempt)
         attempts = self.attempts_by_job.get(attempt.job_id)
@@ -95,6 +99,43 @@
             if not attempts:
                 del self.attempts_by_job[attempt.job_id]
 
+    def is_current(self, attempt: Attempt) -> bool:
+        """Whether an attempt is the one that its task waits for."""
+        partition = self.partitions.get(attempt.job_id)
+        return partition is not None and partition.attempts.get(attempt.index) is attempt
+
+    def release_if_settled(self, worker: Worker, attempt: Attempt) -> None:
+        """Let the task of an attempt that has ended wait again, unless a launch of the attempt may still arrive.
+
+        Guard: it may arrive at another machine, which has the worker's address by then.
+        """
+        partition = self.partitions.get(attempt.job_id)
+        if partition is None or not self.is_current(attempt):
+            return
+        if self.settled(worker, attempt) or "address" not in self.guards:
+            del partition.attempts[attempt.index]
+            self.add_pending(partition, [attempt.index])
+
+    def keep_attempt(self, worker: Worker, attempt: Attempt) -> None:
+        """Keep an attempt of a worker that is lost: another machine at its address may have the task (`AddressChecks`).
+
+        It is no longer the worker's, and still the current attempt of its task.
+        """
+        del worker.attempts[attempt.name]
+        if not attempt.end_cause:
+            worker.add_usage(attempt.spec, -1)
+        self.kept_attempts[attempt] = worker
+
+    def release_attempt(self, attempt: Attempt) -> None:
+        """Forget an attempt that was kept: it is certain to be nowhere, or to be that of another worker."""
+        del self.kept_attempts[attempt]
+        self.requeue(None, attempt)
+        self._forget_attempt(attempt)
+
+    def worker_of(self, attempt: Attempt) -> Worker | None:
+        """The worker that an attempt was launched on; None where that is gone, and the attempt with it."""
+        return self.kept_attempts.get(attempt) or self.workers.get(attempt.worker)
+
     def end_attempt(self, worker: Worker | None, attempt: Attempt, cause: str) -> None:
         """The attempt takes no room any more; `worker` is None if its machine is gone."""
         if not attempt.end_cause and worker is not None and worker.attempts.get(attempt.name) is attempt:
@@ -114,7 +155,7 @@
     def possibly_running(self, job_id: str) -> Iterator[tuple[Worker, Attempt]]:
         """Attempts of the job that may be running, or may yet start, with their workers."""
         for attempt in self.attempts_by_job.get(job_id, ()):
-            worker = self.workers.get(attempt.worker)
+            worker = self.worker_of(attempt)
             if worker is not None and (not attempt.end_cause or not self.settled(worker, attempt)):
                 yield worker, attempt
 
--- a/quinceslip/coordination/shard_state/worker.py
+++ b/quinceslip/coordination/shard_state/worker.py
@@ -31,7 +31,9 @@
     stopping: bool = False  # it is to be stopped
     grace_s: float = 0.0  # what it gets to save its progress when it is stopped
     direct_call_open: bool = False  # a direct command with its launch is in flight
-    unanswered_term: int = 0  # a direct command with its launch was never answered, sent under this term
+    unanswered_term: int = 0  # a direct command with its launch was never answered, given up under this term
+    answered_by_other: bool = False  # one was carried out by another machine, which has the worker's address now
+    given_up_us: int = 0  # when the last of these two was learnt
     sent: bool = False  # its launch or stop was sent already
     counted_usage: tuple[int, int, int, int] | None = None  # what quotas count of it
     counted_as_stopping: bool = False  # quotas count it among those that are stopping
--- a/quinceslip/models/takeover/enabled_steps.py
+++ b/quinceslip/models/takeover/enabled_steps.py
@@ -21,8 +21,14 @@
     yield from _store_steps(world)
     yield Step(StepKind.CRASH)
     for number, machine in enumerate(world.workers):
-        if not machine.gone:
+        if machine.is_foreign:
+            yield from _foreign_steps(world, number, machine)
+        elif not machine.gone:
             yield from _worker_steps(world, number, machine)
+        else:
+            yield from _lost_machine_steps(world, number, machine)
+    if world.leader.reconciler.addresses.open:
+        yield Step(StepKind.LISTED)
     yield from _network_steps(world)
 
 
@@ -61,6 +67,8 @@
     worker = world.leader.worker(machine)
     yield Step(StepKind.HEARTBEAT, number)
     yield Step(StepKind.ANSWER_LOST, number)
+    if machine.name in world.leader.reconciler.addresses.open:
+        yield Step(StepKind.ADDRESS_ASKED, number)
     if worker is not None:
         yield from _probe_steps(number, worker)
     if not world.network.heartbeats:
@@ -69,14 +77,35 @@
         yield Step(StepKind.EXPIRE_LEASE, number)
     if worker is not None:
         yield from _expiry_steps(world, number, machine, worker)
-    if sum(not other.gone for other in world.workers) > 1:
+    if sum(not other.gone and not other.is_foreign for other in world.workers) > 1:
         yield Step(StepKind.MACHINE_GONE, number)
+        if not any(other.is_foreign for other in world.workers):
+            yield Step(StepKind.ADDRESS_REUSED, number)
+    yield from _running_task_steps(number, machine)
+
+
+def _running_task_steps(number: int, machine: ModelWorker) -> Iterator[Step]:
     for task, status in machine.tasks.items():
         if status.state == m.RUNNING:
             yield Step(StepKind.TASK_DONE, number, task_index(task))
             yield Step(StepKind.TASK_FAILS, number, task_index(task))
 
 
+def _foreign_steps(world: World, number: int, machine: ModelWorker) -> Iterator[Step]:
+    """Steps of a machine that has the address of a lost one; its own leader renews its lease."""
+    if machine.fencing_token <= world.store.term:
+        yield Step(StepKind.OTHER_TERM, number)
+    yield from _running_task_steps(number, machine)
+
+
+def _lost_machine_steps(world: World, number: int, machine: ModelWorker) -> Iterator[Step]:
+    reconciler = world.leader.reconciler
+    if machine.name in reconciler.workers:
+        yield Step(StepKind.GONE_SEEN, number)
+    if machine.name in reconciler.addresses.open:
+        yield Step(StepKind.ADDRESS_ASKED, number)
+
+
 def _probe_steps(number: int, worker: Worker) -> Iterator[Step]:
     if worker.delivery.unanswered_probes < MAX_UNANSWERED_PROBES:
         yield Step(StepKind.PROBE_LOST, number)
--- a/quinceslip/models/takeover/leader.py
+++ b/quinceslip/models/takeover/leader.py
@@ -41,7 +41,16 @@
         # The job itself is unfinished in the cache; completed tasks stand in its partition.
         record = JobRecord(m.QUEUED, tasks)
         cache = SimpleNamespace(job=lambda job_id: record)
-        return SimpleNamespace(now_us=0, types={}, call=self._network.call, cache=cache)
+        cloud = SimpleNamespace(list_lag_s=1.0)
+        return SimpleNamespace(
+            now_us=0,
+            timeout_us=1,
+            types={},
+            call=self._network.call,
+            cache=cache,
+            settings=SimpleNamespace(facts=SimpleNamespace(cloud=cloud)),
+            timing=SimpleNamespace(lease_expiry_us=1),
+        )
 
     def _election(self) -> Any:
         return SimpleNamespace(may_launch=lambda shard: True, claim=self._claim)
@@ -61,9 +70,9 @@
     def _inherit_workers(self, fleet: list[ModelWorker]) -> None:
         for machine in fleet:
             machine.leader_changed()
-            if machine.gone:
+            if machine.name not in self._store.registered:
                 continue
-            worker = Worker(machine.name, None, "z", False, endpoint=machine.name, registered=True)
+            worker = Worker(machine.name, None, "z", False, endpoint=machine.address, registered=True)
             self.reconciler.workers[machine.name] = worker
             self.reconciler.inherit_worker(worker)
 
--- a/quinceslip/models/takeover/recovery.py
+++ b/quinceslip/models/takeover/recovery.py
@@ -8,7 +8,17 @@
 #: rounds without faults in which everything must be done
 MAX_RECOVERY_ROUNDS = 14
 #: progress that the leader and the workers make by themselves
-PROGRESS_KINDS = frozenset({StepKind.RAISE_TERM, StepKind.WATCH, StepKind.RECORD, StepKind.TASK_DONE})
+PROGRESS_KINDS = frozenset(
+    {
+        StepKind.RAISE_TERM,
+        StepKind.WATCH,
+        StepKind.RECORD,
+        StepKind.TASK_DONE,
+        StepKind.GONE_SEEN,
+        StepKind.ADDRESS_ASKED,
+        StepKind.LISTED,
+    }
+)
 
 
 def check_recovery(world: World) -> None:
@@ -38,7 +48,7 @@
     while world.network.commands:
         perform(world, Step(StepKind.COMMANDS_ARRIVE))
     for number, machine in enumerate(world.workers):
-        if not machine.gone:
+        if not machine.gone and not machine.is_foreign:
             perform(world, Step(StepKind.HEARTBEAT, number))
 
 
--- a/quinceslip/models/takeover/state_key.py
+++ b/quinceslip/models/takeover/state_key.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from quinceslip.coordination.reconciliation.address_checks import AddressCheck
 from quinceslip.coordination.shard_state.delivery import MAX_UNACKNOWLEDGED, MAX_UNANSWERED_PROBES
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
 from quinceslip.models.takeover.network import CommandsInFlight, DelayedHeartbeat
@@ -44,11 +45,14 @@
             self._store(),
             self._partition(),
             self._leader(),
+            tuple(sorted(world.store.registered)),
+            tuple(self._check(check) for check in world.leader.reconciler.addresses.open.values()),
         )
 
     def _machine(self, machine: ModelWorker) -> Key:
         return (
             machine.gone,
+            machine.address,
             self.term_ranks[machine.fencing_token],
             machine.lease_lapsed,
             self._tasks(machine.tasks.values()),
@@ -100,11 +104,22 @@
             attempt.end_cause,
             attempt.stopping,
             attempt.direct_call_open,
+            attempt.answered_by_other,
             attempt.sent,
             self.term_ranks[attempt.unanswered_term],
             self.world.partition.attempts.get(attempt.index) is attempt,
         )
 
+    def _check(self, check: AddressCheck) -> Key:
+        return (
+            check.worker.name,
+            check.is_inherited,
+            self.term_ranks[check.latest_term],
+            check.probing,
+            check.occupant,
+            tuple(self._attempt(attempt) for attempt in check.attempts),
+        )
+
     def _commands(self, commands: CommandsInFlight) -> Key:
         body = commands.body
         return (
@@ -173,6 +188,10 @@
         yield worker.fencing_token
         for attempt in worker.attempts.values():
             yield attempt.unanswered_term
+    for check in reconciler.addresses.open.values():
+        yield check.latest_term
+        for attempt in check.attempts:
+            yield attempt.unanswered_term
 
 
 def _attempt_numbers(world: World) -> Iterator[int]:
@@ -189,3 +208,5 @@
     for worker in world.leader.reconciler.workers.values():
         for attempt in worker.attempts.values():
             yield attempt.number
+    for attempt in world.leader.reconciler.kept_attempts:
+        yield attempt.number
--- a/quinceslip/models/takeover/steps.py
+++ b/quinceslip/models/takeover/steps.py
@@ -23,6 +23,11 @@
     RECORD = "record"  # the leader records the completed tasks, with an answer
     LEASE_EXPIRY_SEEN = "sweep"  # the leader notes that the lease of worker `number` has run out
     MACHINE_GONE = "gone"  # machine `number` vanishes, and the cloud says so
+    ADDRESS_REUSED = "reuse"  # machine `number` vanishes, and another one, of another shard, has its address
+    GONE_SEEN = "missed"  # the cloud says that machine `number` is gone
+    ADDRESS_ASKED = "ask"  # the machine at the address of machine `number`, which is lost, says what it has
+    LISTED = "list"  # the cloud lists the machines and their addresses
+    OTHER_TERM = "other"  # machine `number`, of another shard, obeys a leader with a later term
     CRASH = "crash"  # the leader ends, a successor leads under a higher term
     HEARTBEAT = "report"  # a heartbeat of worker `number` and its answer arrive
     ANSWER_LOST = "unheard"  # a heartbeat of worker `number` arrives, its answer does not
@@ -46,6 +51,7 @@
     """Carry out one step; raises Breach where it leads to what must never be."""
     _HANDLERS[StepKind(step.kind)](world, step)
     world.leader.end_batch()
+    world.deregister()
 
 
 # The leader.
@@ -174,6 +180,28 @@
     world.leader.reconciler.machine_gone(machine.name)
 
 
+def _address_reused(world: World, step: Step) -> None:
+    machine = _machine(world, step)
+    place = world.fleet.reuse_address(machine)
+    world.network.address_reused(machine.address, step.number, place)
+
+
+def _gone_seen(world: World, step: Step) -> None:
+    world.leader.reconciler.machine_gone(_machine(world, step).name)
+
+
+def _address_asked(world: World, step: Step) -> None:
+    world.answer_from(_machine(world, step).address)
+
+
+def _listed(world: World, step: Step) -> None:
+    world.list_machines()
+
+
+def _other_term(world: World, step: Step) -> None:
+    _machine(world, step).fencing_token = world.store.term + 1
+
+
 _HANDLERS: dict[StepKind, Callable[[World, Step], None]] = {
     StepKind.LAUNCH: _launch,
     StepKind.STOP: _stop,
@@ -181,6 +209,11 @@
     StepKind.RECORD: _record,
     StepKind.LEASE_EXPIRY_SEEN: _expire_known_lease,
     StepKind.MACHINE_GONE: _machine_gone,
+    StepKind.ADDRESS_REUSED: _address_reused,
+    StepKind.GONE_SEEN: _gone_seen,
+    StepKind.ADDRESS_ASKED: _address_asked,
+    StepKind.LISTED: _listed,
+    StepKind.OTHER_TERM: _other_term,
     StepKind.CRASH: _crash,
     StepKind.HEARTBEAT: _heartbeat,
     StepKind.ANSWER_LOST: _answer_lost,
--- a/quinceslip/models/takeover/store.py
+++ b/quinceslip/models/takeover/store.py
@@ -1,4 +1,4 @@
-"""The record of the job's results in the key-value store, with writes that are applied late or never answered."""
+"""The store: the job's results, with writes that are applied late or never answered, and the machine registry."""
 
 from dataclasses import dataclass
 
@@ -22,6 +22,7 @@
         self.recorded: set[int] = set()
         self.mod_revision = 0
         self.pending_writes: list[PendingWrite] = []
+        self.registered: set[str] = set()  # machines that the registry says may hold tasks
 
     def write(self, done: set[int]) -> None:
         """Apply a write of the present leader at once."""
--- a/quinceslip/models/takeover/workers.py
+++ b/quinceslip/models/takeover/workers.py
@@ -20,13 +20,19 @@
     gone: bool = False
     inherited_epoch: int = 1  # its epoch when the present leader came
     lease_lapsed: bool = False  # its lease has run out under the present leader, which has renewed none since
+    address: str = ""  # where direct commands reach it; its name, if it has not the address of another
+    is_foreign: bool = False  # of another shard: another leader renews its lease, and this one is told nothing by it
+
+    def __post_init__(self) -> None:
+        """A machine has an address of its own unless it is given that of another."""
+        self.address = self.address or self.name
 
     def heartbeat(self) -> m.WorkerHeartbeat:
         """The next heartbeat, with the state of all its tasks."""
         self.seq += 1
         return m.WorkerHeartbeat(
             worker=self.name,
-            endpoint=self.name,
+            endpoint=self.address,
             type="t",
             zone="z",
             epoch=self.epoch,
@@ -68,6 +74,16 @@
         self.workers = [ModelWorker(f"w{number}") for number in range(count)]
         self._store = store
 
+    def reuse_address(self, lost: ModelWorker) -> int:
+        """End a machine, and start another one of another shard at its address; returns its place in the fleet."""
+        lost.vanish()
+        self.workers.append(ModelWorker(f"w{len(self.workers)}", address=lost.address, is_foreign=True))
+        return len(self.workers) - 1
+
+    def at_address(self, address: str) -> ModelWorker | None:
+        """The machine that has an address now."""
+        return next((worker for worker in self.workers if worker.address == address and not worker.gone), None)
+
     def obey(self, worker: ModelWorker, fencing_token: int, commands: list[m.Command]) -> None:
         """Carry out commands; raises Breach where they do what must never be."""
         worker.fencing_token = max(worker.fencing_token, fencing_token)
@@ -86,7 +102,8 @@
             known = other.tasks.get(task)
             if other is not worker and known is not None and known.state != m.EXITED:
                 raise Breach(f"{task} starts on {worker.name} while it is on {other.name}")
-        if task_index(task) in self._store.recorded:
+        # At a machine that has the address of a lost one nobody can prevent that, and no rule of PROTOCOL forbids it.
+        if task_index(task) in self._store.recorded and not worker.is_foreign:
             raise Breach(f"{task} starts on {worker.name} after it was done")
         worker.tasks[task] = m.TaskStatus(task, command.attempt, m.RUNNING)
 
--- a/quinceslip/models/takeover/world.py
+++ b/quinceslip/models/takeover/world.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from quinceslip.coordination.actor.effects import CallOutcome
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.models.takeover.leader import LeaderUnderTest
 from quinceslip.models.takeover.network import Network
@@ -14,6 +15,9 @@
 
 OK, CONFLICT = 200, 409
 
+#: when a list was asked for that is newer than all it has to be newer than
+ALWAYS_NEW_US = 10**12
+
 
 class World:
     """Everything that a history has brought about; `steps.perform` carries out its events."""
@@ -25,6 +29,7 @@
         self.store = ResultStore(CONDITIONAL_WRITES in guards)
         self.network = Network()
         self.fleet = WorkerFleet(workers, self.store)
+        self.store.registered = {machine.name for machine in self.workers}
         self.fail_over()
         for _ in range(2):  # the first heartbeat learns the term, the second shows it
             for machine in self.workers:
@@ -46,6 +51,27 @@
         self.store.term += 1
         self.leader = LeaderUnderTest(self.store, self.network, self.workers, self.tasks, self._guards)
 
+    def deregister(self) -> None:
+        """Machines that the leader knows to be gone leave the registry, as in `Deregistration`."""
+        reconciler = self.leader.reconciler
+        self.store.registered &= set(reconciler.workers) | set(reconciler.addresses.open)
+
+    def list_machines(self) -> None:
+        """The leader gets a list of the cloud that is newer than all it has to be newer than."""
+        listed = {
+            machine.name: m.CloudMachine(machine.name, "running", endpoint=machine.address)
+            for machine in self.workers
+            if not machine.gone
+        }
+        self.leader.reconciler.addresses.machines_listed(listed, ALWAYS_NEW_US)
+
+    def answer_from(self, address: str) -> None:
+        """The machine at the address of a lost worker, if there is one, answers what the leader asks there."""
+        machine = self.fleet.at_address(address)
+        for check in list(self.leader.reconciler.addresses.open.values()):
+            if machine is not None and check.endpoint == address:
+                self.leader.command_sender.address_prober.receive(check, machine.heartbeat(), ALWAYS_NEW_US)
+
     def deliver_heartbeat(self, machine: ModelWorker) -> None:
         """A heartbeat and its answer arrive at once."""
         answer = self.leader.receive_heartbeat(machine.heartbeat())
@@ -58,6 +84,8 @@
         commands = self.network.commands.pop(position)
         machine, body = self.workers[commands.worker], commands.body
         if machine.gone:
+            if commands.on_answer is not None:
+                commands.on_answer(CallOutcome.UNKNOWN, b"")
             return
         accepted = body.fencing_token >= machine.fencing_token and body.epoch == machine.epoch
         if accepted:
