--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -402,6 +402,28 @@
 ]
 
 
+def reused(draw: Draw, at_s: float) -> list[str]:
+    """Machines are replaced by others at their addresses among slow links, lost answers and commands held up."""
+    disturbed = draw(
+        st.sampled_from(
+            [
+                f"at {at_s - 1:.2f} slow_links 10 0.8",
+                f"at {at_s + 0.1:.2f} slow_commands all 4 back=9",
+                f"at {at_s - 1:.2f} slow_commands all 2 there=7",
+                f"at {at_s + 0.8:.2f} unheard third 8",
+            ]
+        )
+    )
+    shape = st.sampled_from(["tasks=12", "tasks=4", "gang tasks=4", "service tasks=4 spot=false"])
+    lines = [disturbed, f"at {at_s:.2f} reboot {draw(st.sampled_from(['third', 'busiest', 'zone:a']))} other"]
+    for _ in range(draw(st.integers(2, 5))):
+        lines.append(f"at {at_s + draw(tenths(-1, 3)):.2f} submit NEW {draw(shape)} run=20 rank=production")
+    if draw(st.booleans()):
+        lines.append(f"at {at_s + draw(tenths(0, 3)):.2f} reboot third other")
+    lines += cancels(draw, at_s + 2)
+    return [*lines, f"at {at_s + draw(tenths(1, 6)):.2f} crash {draw(st.sampled_from(OWNERS))} back={draw(BACK)}"]
+
+
 def day(draw: Draw, meetings: list[Callable[[Draw, float], list[str]]]) -> str:
     lines = [
         f"seed {draw(st.integers(1, 10**6))}",
@@ -449,6 +471,17 @@
     return day(draw, [pipelines, draw(st.sampled_from([meeting for meeting in MEETINGS if meeting is not pipelines]))])
 
 
+@st.composite
+def reused_addresses(draw: Draw) -> str:
+    return day(draw, [reused, *draw(st.sampled_from([[], [draw(st.sampled_from(MEETINGS))]]))])
+
+
+@given(reused_addresses())
+@days
+def test_addresses_that_are_reused(text: str) -> None:
+    play(text)
+
+
 @given(pipeline_days())
 @days
 def test_pipelines_among_troubles(text: str) -> None:
