--- a/quinceslip/coordination/reconciliation/adoption.py
+++ b/quinceslip/coordination/reconciliation/adoption.py
@@ -2,13 +2,17 @@
 
 import logging
 
-from quinceslip.coordination.reconciliation.local_tasks import LocalTask, find_local_task
+from quinceslip.coordination.reconciliation.local_tasks import LocalTask, find_local_task, task_number_of
 from quinceslip.coordination.shard_state.state import ShardState
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
 from quinceslip.protocol import messages as m
 
 log = logging.getLogger(__name__)
 
+#: so many names that no task can have are logged for one worker, and so many characters of each
+MAX_ODD_NAMES = 16
+MAX_LOGGED_NAME = 100
+
 
 class TaskAdoption:
     """Makes attempts of reported tasks that this leader did not launch."""
@@ -25,6 +29,7 @@
         """
         task = find_local_task(self.state, name)
         if task is None:
+            self._log_odd_name(worker, name)
             return None
         partition, index = task.partition, task.index
         if index not in partition.assigned or index in partition.done or index in partition.unrecorded_done:
@@ -49,6 +54,15 @@
         self.state.attach(worker, attempt)
         return attempt
 
+    @staticmethod
+    def _log_odd_name(worker: Worker, name: str) -> None:
+        """Log a name that no task can have, once for each worker and for so many names of it at the most."""
+        if task_number_of(name) is not None or name in worker.odd_task_names:
+            return
+        if len(worker.odd_task_names) < MAX_ODD_NAMES:
+            worker.odd_task_names.add(name)
+            log.info("odd task name task=%r worker=%s", name[:MAX_LOGGED_NAME], worker.name)
+
     def _is_living_attempt(self, worker: Worker, task: LocalTask, known: Attempt | None, status: m.TaskStatus) -> bool:
         """Whether a reported attempt that is not done is the one to keep, beside or in place of the known one."""
         exited = status.state == m.EXITED
--- a/quinceslip/coordination/reconciliation/reconciler.py
+++ b/quinceslip/coordination/reconciliation/reconciler.py
@@ -30,6 +30,8 @@
 
 #: `Worker.draining` of a machine that its cloud has announced to reclaim
 DRAINING_RECLAIM_NOTICE = "notice"
+#: a longer notice counts as one of a day: numbers beyond any time can't be counted in microseconds
+MAX_NOTICE_S = 86_400.0
 
 
 class Reconciler(ShardState):
@@ -126,7 +128,7 @@
 
     def _drain_for_reclaim(self, worker: Worker, notice_s: float) -> None:
         """Drain a spot machine that its cloud takes back in `notice_s`; stop what can save its progress until then."""
-        worker.notice_us = self.ctx.now_us + micros(max(notice_s, 0.0))
+        worker.notice_us = self.ctx.now_us + micros(min(max(notice_s, 0.0), MAX_NOTICE_S))
         log.info("worker reclaimed worker=%s notice_s=%.1f", worker.name, notice_s)
         worker.draining = DRAINING_RECLAIM_NOTICE
         for attempt in worker.live_attempts():
--- a/quinceslip/coordination/shard_state/worker.py
+++ b/quinceslip/coordination/shard_state/worker.py
@@ -87,6 +87,7 @@
     # Reconciliation: tasks and images on it.
     reported_tasks: dict[str, m.TaskStatus] = field(default_factory=dict)  # by name, as last reported
     attempts: dict[str, Attempt] = field(default_factory=dict)  # by name; written by the shard state
+    odd_task_names: set[str] = field(default_factory=set)  # reported and logged; written by the adoption of tasks
     images: dict[str, float] = field(default_factory=dict)  # cached images, least recently used first, in GB
     task_failures: int = 0  # failures here of tasks whose jobs are sound
 
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -160,7 +160,7 @@
 def split_address(text: str) -> tuple[str, int]:
     """Turn "10.0.0.1:8080" into its host and port; raises ValueError for anything else."""
     host, sep, port = text.rpartition(":")
-    if not sep or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not sep or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"not an address HOST:PORT: {text!r}")
     return host, int(port)
 
