Addresses: evidence of a newcomer counts once the last call was given up; the list is indexed once

Before the last call is given up a machine at the address may be replaced by one more, which is sent it as well; the worker's own answer had that guard, another machine's had not. A listing was gone through at each tick while an address with another machine in it was open, which is work by the fleet. Change: one condition for both answers; names by address are made once for a list, where one is asked for.

--- a/quinceslip/coordination/reconciliation/address_checks.py
+++ b/quinceslip/coordination/reconciliation/address_checks.py
@@ -16,6 +16,7 @@
 """
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -78,6 +79,9 @@
         self.open: dict[str, AddressCheck] = {}  # by name of the lost worker
         self._listed: Mapping[str, m.CloudMachine] = {}
         self._listed_us = 0  # when the list was asked for; 0: there was none
+        self._listed_names: dict[str, list[str]] | None = (
+            None  # by address; made once for a list, where it is asked for
+        )
 
     # Beginning.
 
@@ -151,7 +155,7 @@
 
     def machines_listed(self, listed: Mapping[str, m.CloudMachine], asked_us: int) -> None:
         """Take a complete list of the cloud's machines that was asked for at `asked_us`."""
-        self._listed, self._listed_us = listed, asked_us
+        self._listed, self._listed_us, self._listed_names = listed, asked_us, None
         self.review()
 
     def wanted_list_us(self) -> int | None:
@@ -165,21 +169,22 @@
         The check is settled by it where the machine has none of the tasks and drops what may still arrive.
         """
         check.occupant, check.answered_us = heartbeat.worker, self.ctx.now_us
+        self._drop_certain(check)
+        # Guard: before the last call was given up, the machine may be replaced by one more that is sent it as well.
+        is_last = not self._has_open_call(check) and asked_us >= check.given_up_us
         if heartbeat.worker == check.worker.name:
             # No other machine had the address meanwhile, and it is in a new epoch itself.
-            if not self._has_open_call(check) and asked_us >= check.given_up_us:
+            if is_last:
                 self.settle(check, "the worker is back")
             return []
-        self._drop_certain(check)
         running = self._tasks_in_doubt(check, heartbeat)
-        if not running and self.drops_late_launches(check, heartbeat):
+        if is_last and not running and self.drops_late_launches(check, heartbeat):
             self.settle(check, "another machine has none of the tasks")
         return running
 
-    def drops_late_launches(self, check: AddressCheck, heartbeat: m.WorkerHeartbeat) -> bool:
-        """Whether the machine at the address carries out nothing that may still arrive."""
-        if self._has_open_call(check):
-            return False
+    @staticmethod
+    def drops_late_launches(check: AddressCheck, heartbeat: m.WorkerHeartbeat) -> bool:
+        """Whether the machine at the address carries out nothing that was sent to it and may still arrive."""
         return not check.latest_term or heartbeat.fencing_token > check.latest_term
 
     @staticmethod
@@ -258,10 +263,12 @@
 
     def _is_another_listed(self, check: AddressCheck) -> bool:
         """Whether the cloud lists a machine of another name at the address."""
-        return any(
-            host.endpoint == check.endpoint and name != check.worker.name and host.status != m.HOST_FAILED
-            for name, host in self._listed.items()
-        )
+        if self._listed_names is None:
+            self._listed_names = defaultdict(list)
+            for name, host in self._listed.items():
+                if host.status != m.HOST_FAILED:
+                    self._listed_names[host.endpoint].append(name)
+        return any(name != check.worker.name for name in self._listed_names.get(check.endpoint, ()))
 
     def _is_another_registered(self, check: AddressCheck) -> bool:
         """Whether the machine registry has a machine of another name at the address."""
