--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 #: once the troubles are over, no job is left waiting for longer than this (LATER of the hunt)
 MAX_WAIT_S = 90.0
 #: where all runs: how long it is watched, longer than a worker's lease
-WATCH_S = 20.0
+WATCH_S = 30.0
 #: one of each through each controller
 PORTALS = [f"req-00000{number}" for number in range(3)]
 ENDLESS = [f"req-00001{number}" for number in range(3)]
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -51,7 +51,7 @@
 
 [facts.cloud]
 rps = 8.0
-list_lag_s = 5.0
+list_lag_s = 6.0
 
 [facts.limits]
 cpu_share = 1.0
@@ -109,9 +109,9 @@
     ) -> None:
         self.record, self.size, self.teams = record, size, teams
         self.facts = {
-            "report_s": 1.0,
-            "lease_s": 10.0,
-            "cancel_s": 35.0,
+            "report_s": 4.0,
+            "lease_s": 26.0,
+            "cancel_s": 46.0,
             "memory_mb": 146.0,
             "max_sockets": 1500,
             **facts,
@@ -238,6 +238,7 @@
         end = time.monotonic() + seconds
         while True:
             label = self.labels[position % self.size]
+            self.record.note("sent", to=f"{method} {path}", node=label, body=body)
             status, answer = await request(self.api[label], method, path, body, 5.0)
             uid = body["uid"] if body else path
             self.record.note("answer", to=f"{method} {path}", uid=uid, node=label, status=status, body=answer)
@@ -248,9 +249,10 @@
 
     async def poll(self, job: str, label: str, quiet: bool = False) -> tuple[int, str | None]:
         """Ask one controller about a job; returns the HTTP status and the status of the job."""
+        sent = self.record.now()
         status, answer = await request(self.api[label], "GET", f"/v1/jobs/{job}", None, 2.0)
         if not quiet:
-            self.record.note("answer", to="poll", uid=job, node=label, status=status, body=answer)
+            self.record.note("answer", sent=round(sent, 3), to="poll", uid=job, node=label, status=status, body=answer)
         return status, answer.get("status") if answer else None
 
 
--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -293,7 +293,7 @@
 class Cloud:
     """The cloud: rents machines whose workers start after the boot time, and lists them late."""
 
-    def __init__(self, site: Site, types: list[MachineType], capacity: int, list_lag_s: float = 5.0) -> None:
+    def __init__(self, site: Site, types: list[MachineType], capacity: int, list_lag_s: float = 6.0) -> None:
         self.site, self.types, self.capacity, self.list_lag_s = site, types, capacity, list_lag_s
         self.machines: dict[str, dict[str, Any]] = {}
         self.workers: dict[str, Worker] = {}
