A deadline beyond the clock no longer leaves its shard without an answering leader

While a shard was led, the submission itself was answered 503 though it had been accepted.

Cause: micros() multiplied seconds by a million and converted to an integer, which raises OverflowError from 1.8e302 s on. It was raised in Shard.__init__ (a leader without a Shard renews its record and answers 503), in a batch of changes and in the listing of the dependency graph (expectS, sizeGb).

Why it works: micros() limits durations to MAX_DURATION_S, about 30 years, the bound that the model of rates has already, so every time that is computed from an amount, and every sum of a few, is a number the clock can hold. Records stay as they were sent.

--- a/quinceslip/coordination/actor/timing.py
+++ b/quinceslip/coordination/actor/timing.py
@@ -5,6 +5,10 @@
 #: microseconds in a second
 SECOND = 1_000_000
 
+#: longest duration to calculate with, about 30 years; longer ones mean "never" and count as this one, so that sums and
+#: multiples of durations that users, the cloud or settings give stay numbers that every clock and record can hold
+MAX_DURATION_S = 1e9
+
 #: maximum relative drift between the monotonic clocks of two machines (PROTOCOL)
 MAX_CLOCK_DRIFT = 0.0005
 
@@ -28,8 +32,12 @@
 
 
 def micros(seconds: float) -> int:
-    """Seconds as whole microseconds, rounded towards zero."""
-    return int(seconds * SECOND)
+    """Seconds as whole microseconds, rounded towards zero; never beyond `MAX_DURATION_S` in either direction.
+
+    Not a number, as in infinity times 0, counts as the longest duration.
+    """
+    # The order of the arguments matters: `min` returns its first one if the other is not a number.
+    return int(max(-MAX_DURATION_S, min(MAX_DURATION_S, seconds)) * SECOND)
 
 
 class Timing:
--- a/quinceslip/coordination/scheduling/deadline_order.py
+++ b/quinceslip/coordination/scheduling/deadline_order.py
@@ -7,7 +7,7 @@
 
 import heapq
 
-from quinceslip.coordination.actor.timing import SECOND, micros
+from quinceslip.coordination.actor.timing import micros
 from quinceslip.coordination.shard_state.partition import JobPartition
 
 #: estimates are often wrong by half: a job counts as late only if this fraction of its run time would end too late
@@ -75,7 +75,7 @@
     def _defer_if_late(self, partition: JobPartition, due_us: int) -> None:
         """If the partition would be late, defer it, or the largest so far if that lets it be on time."""
         run_us = micros(CERTAIN_RUN_FRACTION * partition.spec.estimated_run_s)
-        wait_us = int(self.cpus_ahead / self.cpus_per_s * SECOND)
+        wait_us = micros(self.cpus_ahead / self.cpus_per_s)
         if self.wall_us + run_us > due_us:
             # Late even if it starts now.
             entry = (-_size_cpus(partition), partition.job_id, partition)
--- a/tests/scenario/store.py
+++ b/tests/scenario/store.py
@@ -1,5 +1,6 @@
 """Verbs for faults of the key-value store and the records expected in it."""
 
+import json
 from typing import Any
 
 import msgspec
@@ -16,6 +17,7 @@
 from quinceslip.protocol.settings import Tuning
 from quinceslip.storage.records import JobRecord
 from tests.scenario.state import RunnerState
+from tests.scenario.submission import read_spec
 from tests.scenario.tools import COMPARE
 from tests.simulation.clock import SECOND_US
 from tests.simulation.faults import LateTransactions, LostAnswers, SlowAnswers
@@ -90,6 +92,26 @@
         }
         self.w().store.answer("", "POST", "/txn", {"if": [], "then": [{"write": f"q/load/{args[0]}", "v": record}]})
 
+    def on_store_job(self, args: list[str], named: dict[str, Any]) -> None:
+        """store_job UID [gang|service] [shard=N] [run=S] [after=UID,...] ...: a job that an earlier version accepted
+
+        The other options are fields of the job, as in `submit`.
+        """
+        world, job_id = self.w(), args[0]
+        shard, run_s = named.pop("shard", 0), named.pop("run", 5)
+        spec = read_spec(job_id, args, named)
+        world.jobs[job_id], world.run_s[job_id] = spec, run_s
+        world.remaining_failures[job_id] = world.run_increment_s[job_id] = 0
+        world.checker.submission_attempted(job_id)
+        all_tasks = {"own": f"0-{spec['picks'] - 1}" if spec["picks"] > 1 else "0"}
+        record = {"state": "queued", "tasks": spec["picks"], "spec": spec, "shard": shard, "chunk": all_tasks}
+        self.on_write_record([f"job/{job_id}", json.dumps(record)], {})
+
+    def on_write_record(self, args: list[str], named: dict[str, Any]) -> None:
+        """write_record KEY JSON: write a record to the store; KEY is without its prefix"""
+        change = {"write": f"q/{args[0]}", "v": json.loads(args[1])}
+        self.w().store.answer("", "POST", "/txn", {"if": [], "then": [change]})
+
     def check_job_writes_per_job(self, args: list[str], named: dict[str, Any]) -> None:
         """job_writes_per_job OP N: writes of job records since `reset_counters`, per job"""
         writes = self.w().store.job_writes - self.baseline["job_writes"]
