Sums and quotients of extreme amounts stay numbers

Cause: finite amounts whose mean or quotient is infinite: the rate of a typical task became 0 and its inverse raised; int() of free room over a tiny amount raised.

Why it works: partitions are scheduled with bounded amounts, while records keep what was sent; an estimate at the bound is no part of the mean; numbers of tasks that fit are bounded by those of a job.

--- a/quinceslip/coordination/actor/timing.py
+++ b/quinceslip/coordination/actor/timing.py
@@ -1,5 +1,6 @@
 """Protocol constants, and the periods of leases, heartbeats and probes that follow from the settings."""
 
+from quinceslip.protocol.messages import MAX_AMOUNT
 from quinceslip.protocol.settings import Settings, SettingsError, WorkerFacts
 
 #: microseconds in a second
@@ -7,7 +8,7 @@
 
 #: longest duration to calculate with, about 30 years; longer ones mean "never" and count as this one, so that sums and
 #: multiples of durations that users, the cloud or settings give stay numbers that every clock and record can hold
-MAX_DURATION_S = 1e9
+MAX_DURATION_S = MAX_AMOUNT
 
 #: maximum relative drift between the monotonic clocks of two machines (PROTOCOL)
 MAX_CLOCK_DRIFT = 0.0005
--- a/quinceslip/coordination/jobs/urgency.py
+++ b/quinceslip/coordination/jobs/urgency.py
@@ -17,7 +17,7 @@
 
 
 class EffectiveUrgency(NamedTuple):
-    """A job's specification with its effective priority, and the times by which it should be done, earliest first."""
+    """A job's specification with its effective priority, amounts bounded, and the times it is due, earliest first."""
 
     spec: m.JobSpec
     due_us: list[int]
@@ -53,7 +53,8 @@
         self.priority_rises_us: dict[str, int] = {}
 
     def calculate(self, job_id: str, job: JobRecord, spec: m.JobSpec) -> EffectiveUrgency:
-        """Calculate the current urgency of an open job."""
+        """Calculate the current urgency of an open job; the amounts of its specification are bounded."""
+        spec = m.with_bounded_amounts(spec)
         inherited = self.ctx.graph.urgency(job_id)
         ready_us = max(job.at_us, self.ctx.graph.ready_us(job_id))
         due_times = set(due_times_us(self.ctx.settings.facts.objectives, spec, job.at_us, ready_us))
--- a/quinceslip/coordination/scheduling/machine_room.py
+++ b/quinceslip/coordination/scheduling/machine_room.py
@@ -33,7 +33,9 @@
         return fits((self.cpus, self.gpus, self.memory_gb), spec)
 
     def count_fitting(self, spec: m.JobSpec) -> int:
-        """Return how many such tasks fit together."""
+        """Return how many such tasks fit together, at most as many as a job may have."""
         amounts = ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.memory_gb, spec.memory_gb))
         ratios = [free / needed for free, needed in amounts if needed > 0]
-        return int(min(ratios, default=1.0) + ROUNDING_TOLERANCE)
+        # A tiny amount fits without limit, or overcommits a machine without limit: neither is a number of tasks.
+        fitting = min(*ratios, m.MAX_TASKS) if ratios else 1.0
+        return int(max(fitting, -m.MAX_TASKS) + ROUNDING_TOLERANCE)
--- a/quinceslip/coordination/shard/capacity.py
+++ b/quinceslip/coordination/shard/capacity.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from quinceslip.coordination.actor.timing import SECOND
+from quinceslip.protocol import messages as m
 
 if TYPE_CHECKING:
     from quinceslip.coordination.shard.shard import Shard
@@ -74,15 +75,18 @@
     def _compute_mean_task(self) -> MeanTask:
         """The mean over open batch tasks; measured run times take precedence over estimates."""
         cpus = run_s = 0.0
-        weight = 0.0
+        tasks = estimated_tasks = 0
         for partition in self.shard.partitions.values():
             if not partition.spec.service:
                 count = len(partition.assigned) - len(partition.done)
+                tasks += count
                 cpus += partition.spec.cpus * count
-                run_s += partition.spec.estimated_run_s * count
-                weight += count
-        if weight:
-            cpus, run_s = cpus / weight, run_s / weight
+                # Guard: an estimate that means "never" says nothing; in the mean it would hide those of all other jobs.
+                if partition.spec.estimated_run_s < m.MAX_AMOUNT:
+                    estimated_tasks += count
+                    run_s += partition.spec.estimated_run_s * count
+        cpus /= max(tasks, 1)
+        run_s /= max(estimated_tasks, 1)
         if self._run_times_s:
             run_s = sum(self._run_times_s) / len(self._run_times_s)
         return MeanTask(cpus or DEFAULT_TASK_CPUS, run_s or DEFAULT_RUN_S)
--- a/quinceslip/protocol/messages/__init__.py
+++ b/quinceslip/protocol/messages/__init__.py
@@ -19,7 +19,15 @@
     machines_path,
     scale_out_request,
 )
-from quinceslip.protocol.messages.fields import MAX_BODY_BYTES, Amount, JobId, Text, UnsignedInteger
+from quinceslip.protocol.messages.fields import (
+    MAX_AMOUNT,
+    MAX_BODY_BYTES,
+    MAX_TASKS,
+    Amount,
+    JobId,
+    Text,
+    UnsignedInteger,
+)
 from quinceslip.protocol.messages.store import (
     NO_LEASE,
     PATH_KV,
@@ -51,6 +59,7 @@
     MalformedSubmission,
     job_answer,
     read_submission,
+    with_bounded_amounts,
     with_dependencies,
     with_priority,
 )
@@ -92,7 +101,9 @@
     "GANG_EXIT_CAUSES",
     "HOST_BOOTING",
     "HOST_FAILED",
+    "MAX_AMOUNT",
     "MAX_BODY_BYTES",
+    "MAX_TASKS",
     "NO_LEASE",
     "PATH_COMMANDS",
     "PATH_HEARTBEAT",
@@ -150,6 +161,7 @@
     "scale_out_request",
     "stop",
     "watch_path",
+    "with_bounded_amounts",
     "with_dependencies",
     "with_priority",
 ]
--- a/quinceslip/protocol/messages/users.py
+++ b/quinceslip/protocol/messages/users.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from quinceslip.protocol.messages.fields import Amount, JobId, Text
+from quinceslip.protocol.messages.fields import MAX_AMOUNT, MAX_TASKS, Amount, JobId, Text
 
 PATH_JOBS = "/v1/jobs"
 PATH_READY = "/ready"
@@ -44,7 +44,7 @@
     team: Text = field(name="crew")
     kind: Literal["array", "group", "standing"] = field(name="shape")
     priority_class: Literal["production", "urgent", "normal", "low"] = field(name="rank")
-    tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="picks")
+    tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = field(name="picks")
     cpus: Amount = field(name="vcpus")
     gpus: Amount
     memory_gb: Amount = field(name="memGb")
@@ -95,6 +95,12 @@
     return spec if spec.dependencies == job_ids else msgspec.structs.replace(spec, dependencies=job_ids)
 
 
+def with_bounded_amounts(spec: JobSpec) -> JobSpec:
+    """Return the job with its amounts limited to `MAX_AMOUNT`, for calculations; records keep what the user sent."""
+    bounded = {name: MAX_AMOUNT for name in _AMOUNT_FIELDS if (getattr(spec, name) or 0.0) > MAX_AMOUNT}
+    return msgspec.structs.replace(spec, **bounded) if bounded else spec
+
+
 class _IdentifiedJob(Struct):
     """The only field that is needed to tell which job a malformed submission is about."""
 
--- a/quinceslip/quota/allocation_giving.py
+++ b/quinceslip/quota/allocation_giving.py
@@ -7,6 +7,7 @@
 
 from quinceslip.coordination.actor.effects import Urgency
 from quinceslip.coordination.actor.timing import SECOND
+from quinceslip.protocol import messages as m
 from quinceslip.quota.allocation import Allocation
 from quinceslip.quota.allocation_writer import MoveBatch
 from quinceslip.quota.allocations import LevelAmount
@@ -166,5 +167,5 @@
         if shortfall:
             self.shard_quota.forget_candidates()
             self.shard_quota.make_room(
-                RoomRequest(job.spec, 1, covering_guarantees=covering, shortfall=shortfall),
+                RoomRequest(m.with_bounded_amounts(job.spec), 1, covering_guarantees=covering, shortfall=shortfall),
             )
--- a/quinceslip/quota/preemption.py
+++ b/quinceslip/quota/preemption.py
@@ -96,8 +96,11 @@
 
     def _tasks_that_fit(self, free: tuple[float, float, float]) -> int:
         needs = (self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
-        counts = ((available + EPSILON) // need for available, need in zip(free, needs, strict=True) if need > 0)
-        return int(min(counts, default=self.spec.tasks))
+        counts = [(available + EPSILON) // need for available, need in zip(free, needs, strict=True) if need > 0]
+        if not counts:
+            return self.spec.tasks
+        # A tiny amount fits without limit, or overcommits a machine without limit: neither is a number of tasks.
+        return int(max(min(*counts, m.MAX_TASKS), -m.MAX_TASKS))
 
 
 @dataclass(slots=True)
