An error of one record, job or request costs only itself

Cause: construction of a Shard, batches of records, the dependency graph, requests behind a shared read and the shards of a tick were handled in one run, and a message that raised lost the effects that components wait for.

Why it works: each is handled by itself and logged as an error; a job whose dependencies could not be applied counts as waiting, one without a readable record is answered 503 and never overwritten. Without readable records of terms, leaders, machines, levels and quotas a controller still decides nothing.

--- a/quinceslip/coordination/actor/compare_and_swap.py
+++ b/quinceslip/coordination/actor/compare_and_swap.py
@@ -117,8 +117,11 @@
                     if self.cache.store(key, value, answer.revision):
                         changed.append(key)
                 changed += [key for key in write.deletes if self.cache.delete(key, answer.revision)]
-        write.on_result(status, failed)
-        self.on_records_changed(changed)
+        try:
+            write.on_result(status, failed)
+        finally:
+            # Guard: the cache has these changes already, so no later message reports them again.
+            self.on_records_changed(changed)
 
     def _reject(self, request: dict[str, Any], reason: bytes) -> None:
         changes = request["then"]
--- a/quinceslip/coordination/actor/effects.py
+++ b/quinceslip/coordination/actor/effects.py
@@ -80,6 +80,17 @@
 Effect = Call | Reply | PeerBroadcast
 
 
+class MessageFailedError(Exception):
+    """A message could not be handled to its end; `effects` are those up to then, which are to be carried out.
+
+    Components have noted these calls and wait for their results, so dropping them would keep the components waiting.
+    """
+
+    def __init__(self, effects: list[Effect]) -> None:
+        super().__init__(f"message not handled to its end, after {len(effects)} effects")
+        self.effects = effects
+
+
 # Messages to the actor.
 
 
--- a/quinceslip/coordination/controller/cancellations.py
+++ b/quinceslip/coordination/controller/cancellations.py
@@ -67,7 +67,9 @@
 
         Bound: `cancel` finds the job in the cache, so it does not wait for a second barrier.
         """
-        if self.ctx.cache.job(job_id) is None:
+        if self.ctx.cache.is_undecodable_job(job_id):
+            reply_unavailable(self.ctx, request)
+        elif self.ctx.cache.job(job_id) is None:
             self.polls.reply_not_found(request)
         else:
             self.cancel(request, job_id)
--- a/quinceslip/coordination/controller/controller.py
+++ b/quinceslip/coordination/controller/controller.py
@@ -11,6 +11,7 @@
     Effect,
     HeartbeatReceived,
     Message,
+    MessageFailedError,
     PeerFrameReceived,
     StoreChanges,
     StoreListing,
@@ -18,6 +19,7 @@
     Tick,
     UserRequest,
 )
+from quinceslip.coordination.actor.isolation import run_isolated
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.autoscaling.autoscaler import Autoscaler
 from quinceslip.coordination.connectivity.connectivity import WorkerConnectivity
@@ -124,10 +126,16 @@
         ]
 
     def handle(self, message: Message, now_us: int) -> list[Effect]:
-        """Handle one message at `now_us`, and return the resulting effects in order."""
+        """Handle one message at `now_us`, and return the resulting effects in order.
+
+        Raises MessageFailedError, with the effects up to then, if it can't be handled to its end.
+        """
         self.ctx.now_us = now_us
         self.ctx.effects = []
-        self._message_handlers[type(message)](message)
+        try:
+            self._message_handlers[type(message)](message)
+        except Exception as error:
+            raise MessageFailedError(self.ctx.effects) from error
         return self.ctx.effects
 
     def ready(self) -> bool:
@@ -152,9 +160,9 @@
 
     def _handle_batch_end(self, _message: BatchEnd) -> None:
         for shard in self.shards.values():
-            shard.end_batch()
+            run_isolated(shard.end_batch, "end of a batch failed shard=%d", shard.index)
         for subsystem in self.subsystems:
-            subsystem.batch_ended()
+            run_isolated(subsystem.batch_ended, "end of a batch failed subsystem=%s", type(subsystem).__name__)
 
     def _handle_subsystem_query(self, message: SubsystemQuery) -> None:
         for subsystem in self.subsystems:
@@ -206,7 +214,7 @@
 
     def _tick_shards(self) -> None:
         for shard in list(self.shards.values()):
-            shard.tick()
+            run_isolated(shard.tick, "periodic work of a shard failed shard=%d", shard.index)
 
     def _tick_leadership(self) -> None:
         """Log shard summaries, hand over shards that peers should lead, and check whether workers reach this one."""
--- a/quinceslip/coordination/controller/periodic_work.py
+++ b/quinceslip/coordination/controller/periodic_work.py
@@ -1,12 +1,10 @@
 """Periodic work: each tick runs every component of a controller once."""
 
-import logging
 from collections.abc import Callable
 from typing import NamedTuple
 
 from quinceslip.coordination.actor.context import Context
-
-log = logging.getLogger(__name__)
+from quinceslip.coordination.actor.isolation import run_isolated
 
 
 class PeriodicComponent(NamedTuple):
@@ -27,8 +25,5 @@
         """Run every component separately: if one raises, only its own turn is lost."""
         for component in self.components:
             self.ctx.active_part = component.name
-            try:
-                component.tick()
-            except Exception:
-                log.exception("periodic work of a component failed part=%s", component.name)
+            run_isolated(component.tick, "periodic work of a component failed part=%s", component.name)
         self.ctx.active_part = ""
--- a/quinceslip/coordination/controller/polls.py
+++ b/quinceslip/coordination/controller/polls.py
@@ -5,7 +5,7 @@
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.controller.job_status import JobStatusReader
 from quinceslip.coordination.controller.read_barrier import ReadBarrier
-from quinceslip.coordination.controller.replies import reply_error
+from quinceslip.coordination.controller.replies import reply_error, reply_unavailable
 
 
 class Polls:
@@ -43,6 +43,8 @@
         job = self.ctx.cache.job(job_id)
         if job is not None:
             self.ctx.reply(request, 200, self.status.answer(job_id, job))
+        elif self.ctx.cache.is_undecodable_job(job_id):
+            reply_unavailable(self.ctx, request)  # it was accepted, so no error is true
         elif if_absent is not None:
             if_absent()
         else:
--- a/quinceslip/coordination/controller/read_barrier.py
+++ b/quinceslip/coordination/controller/read_barrier.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quinceslip.coordination.actor.context import Context
+from quinceslip.coordination.actor.isolation import run_isolated
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.controller.replies import reply_unavailable
 from quinceslip.protocol import messages as m
@@ -77,7 +78,10 @@
         for read in completed_reads:
             if self.ctx.cache.synced and self.ctx.cache.revision >= read.revision:
                 for pending in read.pending:
-                    pending.on_cache_current()
+                    # Guard: the requests that share a read must not share the error of one of them.
+                    run_isolated(
+                        pending.on_cache_current, "request after a read barrier failed request=%d", pending.request
+                    )
                 continue
             unexpired = self._drop_expired(read.pending)
             if unexpired:
--- a/quinceslip/coordination/controller/record_changes.py
+++ b/quinceslip/coordination/controller/record_changes.py
@@ -1,5 +1,6 @@
 """Dispatch of changed records in the store cache to the components that handle their kind."""
 
+import logging
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
 
@@ -12,6 +13,8 @@
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.storage.cache import StoreCache
 
+log = logging.getLogger(__name__)
+
 #: kind of job records in the store
 JOB_KIND = "job"
 
@@ -57,14 +60,25 @@
         graph_changes = self.ctx.graph.records_changed([name for kind, name in keys if kind == JOB_KIND])
         for kind, name in keys:
             self.ctx.records_applied += 1
-            handler = self._handlers.get(kind)
-            if handler is not None:
-                handler(name)
+            self._apply_isolated(self._handlers.get(kind), kind, name)
         for job_id in graph_changes.ready:
-            self._job_ready(job_id)
+            self._apply_isolated(self._job_ready, JOB_KIND, job_id)
         for job_id in graph_changes.urgency_changed:
-            for shard in self.shards.values():
-                shard.persistence.urgency_changed(job_id)
+            self._apply_isolated(self._urgency_changed, JOB_KIND, job_id)
+
+    @staticmethod
+    def _apply_isolated(handler: Callable[[str], None] | None, kind: str, name: str) -> None:
+        """Call a handler; the error of one record must not cost those that changed with it, which come only once."""
+        if handler is None:
+            return
+        try:
+            handler(name)
+        except Exception:
+            log.exception("changed record not applied kind=%s name=%s", kind, name)
+
+    def _urgency_changed(self, job_id: str) -> None:
+        for shard in self.shards.values():
+            shard.persistence.urgency_changed(job_id)
 
     def _load_job(self, job_id: str) -> None:
         for shard in self.shards.values():
--- a/quinceslip/coordination/controller/submissions.py
+++ b/quinceslip/coordination/controller/submissions.py
@@ -57,6 +57,9 @@
             if not ctx.feature_active(PIPELINES):
                 reply_unavailable(ctx, request)  # some controller may still run a version without dependencies
                 return
+            if any(map(ctx.cache.is_undecodable_job, spec.dependencies)):
+                reply_unavailable(ctx, request)  # accepted jobs, but whether they are services or done is unknown
+                return
             error = self.checks.dependency_error(spec)
             if error is not None:
                 self._reject_dependencies(request, spec, error, behind_barrier)
--- a/quinceslip/coordination/jobs/partition_loader.py
+++ b/quinceslip/coordination/jobs/partition_loader.py
@@ -24,7 +24,18 @@
         self.completion = completion
 
     def load(self, job_id: str, inherited: bool = False) -> None:
-        """Bring the partition of a job in line with its record; `inherited`: another leader may have started tasks."""
+        """Bring the partition of a job in line with its record; `inherited`: another leader may have started tasks.
+
+        Raises ValueError for a record with unusable values; the job then has no partition here.
+        """
+        try:
+            self._load(job_id, inherited)
+        except Exception:
+            # Guard: a partition that lacks part of its record must not be placed, written or finished.
+            self._unload(job_id)
+            raise
+
+    def _load(self, job_id: str, inherited: bool) -> None:
         state, cache = self.state, self.ctx.cache
         record = cache.partition(state.index, job_id)
         job = cache.job(job_id)
--- a/quinceslip/coordination/shard/shard.py
+++ b/quinceslip/coordination/shard/shard.py
@@ -1,8 +1,10 @@
 """One shard as its leader runs it: composes its parts, and routes events and queries of other packages to them."""
 
 import logging
+from functools import partial
 
 from quinceslip.coordination.actor.context import Context
+from quinceslip.coordination.actor.isolation import run_isolated
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.jobs.persistence import JobPersistence
 from quinceslip.coordination.leadership.election import LeaderElection
@@ -54,7 +56,10 @@
         self.next_deadline_order_us = 0
         self.registration.inherit_workers()
         for job_id in list(ctx.cache.open_jobs):
-            self.persistence.load(job_id, inherited=True)
+            # Guard: without its `Shard`, a leader would renew its record but answer no worker and start nothing.
+            run_isolated(
+                partial(self.persistence.load, job_id, inherited=True), "inherited job not loaded job=%s", job_id
+            )
         self.release_unreconciled()
 
     # Events.
--- a/quinceslip/dependencies/graph.py
+++ b/quinceslip/dependencies/graph.py
@@ -8,13 +8,16 @@
 No I/O, clock or thread; used by the actor only. Times are wall clock, in microseconds.
 """
 
+import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from quinceslip.dependencies.urgency import JobNode, Urgency, UrgencyPropagation
+from quinceslip.dependencies.urgency import LOWEST_PRIORITY, JobNode, Urgency, UrgencyPropagation
 from quinceslip.protocol.messages import CANCELLED, DONE, QUEUED, JobSpec
 from quinceslip.storage.records import JobRecord
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class Changes:
@@ -49,13 +52,15 @@
         self.cancelled: dict[str, None] = {}
         self._propagation = UrgencyPropagation(self.nodes, self.dependents, self.cancelled)
         self._ready: list[str] = []
+        #: jobs whose records could not be applied, so that their nodes may lack dependencies
+        self._inconsistent: set[str] = set()
 
     # Queries.
 
     def is_waiting(self, job_id: str) -> bool:
         """Whether a job may not start yet, or never will, because a dependency was not seen as done."""
         node = self.nodes.get(job_id)
-        return node is not None and bool(node.unfinished)
+        return (node is not None and bool(node.unfinished)) or job_id in self._inconsistent
 
     def is_cancelled(self, job_id: str) -> bool:
         """Whether an open job is permanently cancelled through a dependency."""
@@ -79,12 +84,21 @@
             record = self._get_record(job_id)
             if record is None:
                 continue
-            if record.state == QUEUED:
-                self._open_job_changed(job_id, record)
-            else:
-                self._job_finished(job_id, record)
+            try:
+                self._record_changed(job_id, record)
+                self._inconsistent.discard(job_id)
+            except Exception:
+                # Guard: a job whose dependencies are not all known here must not start, and costs no other job.
+                log.exception("dependencies of a job not applied job=%s", job_id)
+                self._inconsistent.add(job_id)
         return Changes(self._pop_ready(), self._propagation.propagate())
 
+    def _record_changed(self, job_id: str, record: JobRecord) -> None:
+        if record.state == QUEUED:
+            self._open_job_changed(job_id, record)
+        else:
+            self._job_finished(job_id, record)
+
     def _pop_ready(self) -> list[str]:
         """Return and clear the jobs that became ready in this batch and are still open.
 
@@ -103,15 +117,20 @@
 
     def _ensure_node(self, job_id: str, record: JobRecord) -> JobNode:
         """Return the node of an open job with dependencies or dependents, creating it if there is none."""
-        assert record.spec is not None
         if job_id not in self.nodes:
-            own = self._get_urgency(record.spec, record.at_us)
-            self.nodes[job_id] = JobNode(own, self._estimate_run_us(record.spec), urgency=own)
+            self.nodes[job_id] = self._create_node(record)
             # Dependents may have been added before this controller knew the job.
             for dependent in self.dependents.get(job_id, ()):
                 self._propagation.dependent_added(job_id, dependent)
         return self.nodes[job_id]
 
+    def _create_node(self, record: JobRecord) -> JobNode:
+        """Create the node of an open job; one whose record has no specification can't run and is not urgent."""
+        if record.spec is None:
+            return JobNode(Urgency(LOWEST_PRIORITY), run_us=0)
+        own = self._get_urgency(record.spec, record.at_us)
+        return JobNode(own, self._estimate_run_us(record.spec), urgency=own)
+
     def _add_waiting_job(self, job_id: str, record: JobRecord) -> None:
         assert record.spec is not None
         node = self._ensure_node(job_id, record)
--- a/quinceslip/storage/cache.py
+++ b/quinceslip/storage/cache.py
@@ -8,7 +8,15 @@
 
 from quinceslip.protocol.messages import QUEUED, Event, Item
 from quinceslip.storage import records, task_sets
-from quinceslip.storage.records import ADVISORY, KINDS, JobRecord, PartitionRecord, RecordKind, ShardRecord
+from quinceslip.storage.records import (
+    ADVISORY,
+    KINDS,
+    SELF_CONTAINED,
+    JobRecord,
+    PartitionRecord,
+    RecordKind,
+    ShardRecord,
+)
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +49,10 @@
         self.by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in self.kinds}
         #: store revision of each remembered deletion
         self.deleted: dict[str, int] = {}
+        #: store revision of each record that can't be decoded, except advisory ones
+        self.undecodable: dict[str, int] = {}
+        #: those of them without which no decision is safe
+        self._undecodable_essential: set[str] = set()
         #: jobs that are neither done nor cancelled by their own records
         self.open_jobs: dict[str, JobRecord] = {}
         #: the services among `open_jobs`
@@ -60,7 +72,11 @@
         earlier changes of its last leader. The listing is not used until the watch has delivered the changes made
         while it was read.
         """
-        return self.listing_revision is not None and self.revision >= self.listing_revision
+        return (
+            self.listing_revision is not None
+            and self.revision >= self.listing_revision
+            and not self._undecodable_essential
+        )
 
     # Changes.
 
@@ -79,7 +95,8 @@
 
     def _remove_unlisted(self, listed: set[str], revision: int) -> list[str]:
         """Remove records that are missing from a listing and not newer than it; returns their keys."""
-        deleted = [key for key in self.mod_revisions if key not in listed and self.mod_revisions[key] <= revision]
+        known = self.mod_revisions | self.undecodable
+        deleted = [key for key in known if key not in listed and known[key] <= revision]
         for key in deleted:
             self._remove(key, revision)
         return deleted
@@ -96,30 +113,32 @@
         if revision > self.revision:
             self.revision = revision
             if len(self.deleted) > MAX_REMEMBERED_DELETIONS:
-                self.deleted.clear()
+                self.deleted = dict(self.undecodable)
         return changed
 
     def _apply(self, key: str, raw: msgspec.Raw, mod_revision: int) -> bool:
         """Decode and store one record; returns whether the cache changed.
 
-        An advisory record that can't be decoded counts as deleted; any other raises `msgspec.DecodeError`.
+        A record that can't be decoded costs no other record: see `ADVISORY` and `SELF_CONTAINED`.
         """
         self.records_decoded += 1
         kind = key.split("/")[1]
         try:
             value = msgspec.json.decode(raw, type=self.kinds.get(kind, msgspec.Raw))
             return self.store(key, value, mod_revision)
-        except msgspec.DecodeError as error:
-            if kind not in ADVISORY:
-                raise
-            log.info("cannot decode advisory record, treated as absent key=%s error=%s", key, error)
-            return self.delete(key, mod_revision)
+        except (msgspec.DecodeError, RecursionError) as error:
+            if kind in ADVISORY:
+                log.info("cannot decode advisory record, treated as absent key=%s error=%s", key, error)
+                return self.delete(key, mod_revision)
+            return self._record_undecodable(key, kind, mod_revision, error)
 
     def store(self, key: str, value: Any, mod_revision: int) -> bool:
         """Store a record unless the known change of its key is as new or newer; returns whether it was stored."""
         if self._is_outdated(key, mod_revision):
             return False
         self.mod_revisions[key] = mod_revision
+        if self.undecodable:
+            self._forget_undecodable(key)
         kind, name = records.split_key(key)
         if kind in self.by_kind:
             self.by_kind[kind][name] = value
@@ -127,6 +146,23 @@
             self._index_job(name, value)
         return True
 
+    def _record_undecodable(self, key: str, kind: str, mod_revision: int, error: Exception) -> bool:
+        """Note that a record can't be decoded; returns whether the cache changed.
+
+        Guard: it does not get this `mod_revision`, so every write that would replace it fails on its condition.
+        Otherwise a version that does not know the record would overwrite it.
+        """
+        if self._is_outdated(key, mod_revision):
+            return False
+        log.error("cannot decode record key=%s revision=%d error=%s", key, mod_revision, error)
+        is_self_contained = kind in SELF_CONTAINED
+        if is_self_contained:
+            self._remove(key, mod_revision)
+        else:
+            self._undecodable_essential.add(key)
+        self.undecodable[key] = mod_revision
+        return is_self_contained
+
     def delete(self, key: str, mod_revision: int) -> bool:
         """Delete a record unless the known change of its key is as new or newer; returns whether there was one."""
         if self._is_outdated(key, mod_revision):
@@ -136,8 +172,13 @@
     def _is_outdated(self, key: str, mod_revision: int) -> bool:
         return mod_revision <= self.mod_revisions.get(key, 0) or mod_revision <= self.deleted.get(key, 0)
 
+    def _forget_undecodable(self, key: str) -> None:
+        self.undecodable.pop(key, None)
+        self._undecodable_essential.discard(key)
+
     def _remove(self, key: str, mod_revision: int) -> bool:
         self.deleted[key] = mod_revision
+        self._forget_undecodable(key)
         existed = self.mod_revisions.pop(key, None) is not None
         kind, name = records.split_key(key)
         if kind in self.by_kind:
@@ -164,6 +205,10 @@
         """Return the store revision of the last change of a key; 0 if it has no record."""
         return self.mod_revisions.get(key, 0)
 
+    def is_undecodable_job(self, job_id: str) -> bool:
+        """Whether a job has a record that can't be decoded, so that it is accepted but nothing else is known of it."""
+        return bool(self.undecodable) and records.job_key(job_id) in self.undecodable
+
     def job(self, job_id: str) -> JobRecord | None:
         """Return the record of a job."""
         return self.by_kind[_JOB].get(job_id)
@@ -198,4 +243,12 @@
 
     def done_count(self, job_id: str) -> int:
         """Return the number of tasks of a job that are recorded as done in any of its partitions."""
-        return sum(len(task_sets.decode(partition.done)) for partition in self.partitions(job_id).values())
+        return sum(map(_count_done, self.partitions(job_id).values()))
+
+
+def _count_done(partition: PartitionRecord) -> int:
+    """Return the number of tasks that a partition lists as done; 0 if its list can't be read."""
+    try:
+        return len(task_sets.decode(partition.done))
+    except ValueError:
+        return 0
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -244,6 +244,12 @@
 ADVISORY = frozenset({RecordKind.LOAD, RecordKind.STALL, RecordKind.MISROUTED, RecordKind.SUPPORTS})
 
 
+#: Kinds whose records concern only what they name: one that can't be decoded costs that alone. It is never overwritten,
+#: as a later version may have written it. Without all records of the other kinds (terms, leaders, machines, quotas) no
+#: decision would be safe, so while one of those can't be decoded, the cache does not count as synced.
+SELF_CONTAINED = frozenset({RecordKind.JOB, RecordKind.PARTITION, RecordKind.SCALE_OUT, RecordKind.MACHINE_TYPES})
+
+
 def is_final(job: JobRecord) -> bool:
     """Return whether a job is done or cancelled; such a state never changes."""
     return job.state in (DONE, CANCELLED)
--- a/quinceslip/storage/task_sets.py
+++ b/quinceslip/storage/task_sets.py
@@ -2,6 +2,8 @@
 
 import base64
 
+from quinceslip.protocol.messages import MAX_TASKS
+
 #: ranges up to this length, in characters, are used without checking whether a bitmap is shorter
 MAX_PLAIN_RANGES_LENGTH = 64
 #: marks a bitmap; ranges begin with a digit
@@ -50,7 +52,10 @@
     numbers: set[int] = set()
     for part in text.split(","):
         first, _, last = part.partition("-")
-        numbers.update(range(int(first), int(last or first) + 1))
+        end = int(last or first) + 1
+        if end > MAX_TASKS:
+            raise ValueError(f"task numbers up to {end - 1}")
+        numbers.update(range(int(first), end))
     return numbers
 
 
--- a/quinceslip/transport/actor.py
+++ b/quinceslip/transport/actor.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from quinceslip.coordination.actor.effects import BatchEnd, Effect, Tick
+from quinceslip.coordination.actor.effects import BatchEnd, Effect, MessageFailedError, Tick
 from quinceslip.transport.clock import steady_us
 
 log = logging.getLogger(__name__)
@@ -77,18 +77,24 @@
         except queue.Empty:
             return BatchEnd() if self._batch_messages else None
 
+    def _handle(self, message: Any) -> list[Effect]:
+        """Return the effects of a message; of one that can't be handled, those up to its failure."""
+        try:
+            return self.handle(message, steady_us())
+        except MessageFailedError as error:
+            # A message that can't be handled must not end the service.
+            log.exception("error while handling %s", type(message).__name__)
+            return error.effects
+        except Exception:
+            log.exception("error while handling %s", type(message).__name__)
+            return []
+
     def _process(self, message: Any) -> None:
         """Handle one message and carry out its effects; exceptions are logged, and the actor continues."""
         self._batch_messages = 0 if isinstance(message, BatchEnd) else self._batch_messages + 1
         self.messages_handled += 1
         self.current_message_type = type(message).__name__
-        try:
-            effects = self.handle(message, steady_us())
-        except Exception:
-            # A message that can't be handled must not end the service.
-            log.exception("error while handling %s", type(message).__name__)
-            return
-        for effect in effects:
+        for effect in self._handle(message):
             try:
                 self.carry_out(effect)
             except Exception:
