One machine type or listed machine that can't be used costs only itself

Callers saw (in tests): one malformed machine type left starting controllers without any type and all users with 503; a type with amounts of 1.7e308 ended periodic work; one malformed entry hid the whole machine list.

Cause: answers of the cloud were decoded as a whole, and what was decoded was calculated with.

Why it works: entries are read one by one. An unusable type is left out, and while there is one, no job gets the final 422 for lack of a type. A machine of which only the name is readable stays listed, so it is not taken for gone, and its list is no proof that an address is vacant.

--- a/quinceslip/coordination/actor/context.py
+++ b/quinceslip/coordination/actor/context.py
@@ -37,6 +37,8 @@
         self.teams = {team.name: team for team in settings.facts.teams}
         #: the cloud's machine types by label, and the labels of those on which services start fast enough
         self.machine_types: dict[str, messages.MachineType] = {}
+        #: whether the cloud may offer types that are not known here, as it described some in a way that can't be used
+        self.has_unusable_types = False
         self.quick_types: set[str] = set()
         self.graph = DependencyGraph(self.cache.job, self._job_urgency, self.expected_duration_us)
         #: whether a feature level is active in all controllers (`quinceslip.feature_gate`)
--- a/quinceslip/coordination/autoscaling/inventory.py
+++ b/quinceslip/coordination/autoscaling/inventory.py
@@ -62,8 +62,11 @@
         self.listed, self.listed_us = listed, requested_us
         for name in listed:
             self.first_listed_us.setdefault(name, requested_us)
+        # Guard: an unreadable machine may be at any address, so the list proves of no address that it is vacant.
+        shows_all_addresses = not any(machine.status == m.HOST_UNREADABLE for machine in listed.values())
         for shard in self.shards.values():
-            shard.addresses.machines_listed(listed, requested_us)
+            if shows_all_addresses:
+                shard.addresses.machines_listed(listed, requested_us)
             for name in list(shard.workers):
                 machine = listed.get(name)
                 if machine is None:
--- a/quinceslip/coordination/autoscaling/machine_choice.py
+++ b/quinceslip/coordination/autoscaling/machine_choice.py
@@ -19,6 +19,8 @@
 #: headroom on quick machines may cost up to this many times as much as on the cheapest ones
 MAX_HEADROOM_PRICE_FACTOR = 4.0
 MIN_TASK_MEMORY_GB = 0.001
+#: a lower price counts as none, as the ratio of two prices has to be a number
+MIN_PRICE = 1e-6
 #: fraction of a machine that may be missing for the cheapest kind before one more machine is bought
 MAX_UNSERVED_FRACTION = 0.2
 #: the same for on-demand machines where spot machines would do
@@ -117,7 +119,7 @@
         tasks_per_machine = max(1, int(min(tasks_by_cpus, tasks_by_memory, demand.tasks)))
         cpus_per_machine = max(tasks_per_machine * spec.cpus, MIN_TASK_CPUS)
         machines = max(1, math.ceil(demand.cpus / cpus_per_machine - MAX_UNSERVED_FRACTION))
-        if not demand.spot or machine_type.spot_price <= 0 or spec.indivisible:
+        if not demand.spot or machine_type.spot_price < MIN_PRICE or spec.indivisible:
             return MachineCounts(tasks_per_machine, machines, machines)
         # A more expensive machine must have proportionally more work waiting for it.
         surcharge = machine_type.price / machine_type.spot_price - 1.0
@@ -129,7 +131,7 @@
         """Filter out costly options: headroom is for a few tasks, so a large machine costs more than it can save."""
         types = self.ctx.machine_types
         fitting = [t for t in types.values() if fits(Resources.of_type(t), demand.partition.spec)]
-        cheapest = min(t.price * max(1, math.ceil(demand.cpus / t.cpus)) for t in fitting)
+        cheapest = min(t.price * max(1, math.ceil(demand.cpus / max(t.cpus, MIN_TASK_CPUS))) for t in fitting)
         return [
             option
             for option in options
--- a/quinceslip/coordination/autoscaling/machine_list.py
+++ b/quinceslip/coordination/autoscaling/machine_list.py
@@ -81,7 +81,7 @@
     if status != 200:
         return None
     try:
-        return msgspec.json.decode(body, type=m.MachineListing)
+        return m.read_machine_listing(body)
     except msgspec.DecodeError as error:
         log.error("cloud sent an invalid machine list: %s", error)
         return None
--- a/quinceslip/coordination/autoscaling/machine_types.py
+++ b/quinceslip/coordination/autoscaling/machine_types.py
@@ -31,7 +31,7 @@
         """Handle a change of the stored record of machine types."""
         types = self.ctx.cache.by_kind["types"].get("")
         if types:
-            self._replace_types(types)
+            self._replace_types(m.usable_machine_types(types))
 
     def request_if_due(self) -> None:
         """Request the machine types from the cloud if it is time."""
@@ -62,26 +62,32 @@
         if status != 200:
             return
         try:
-            types = msgspec.json.decode(body, type=m.MachineTypes).types
+            read = m.read_machine_types(body)
         except msgspec.DecodeError as error:
             log.error("cloud sent invalid machine types: %s", error)
             return
         is_first_answer = not self.ctx.machine_types
-        self._replace_types(types)
+        self._replace_types(read)
         self.next_request_us = self.ctx.now_us + REFRESH_PERIOD_US
         mod_revision = self.ctx.cache.mod_revision(records.MACHINE_TYPES_KEY)
         # Types that exceed one record are not stored: with only some of them, users would be told that jobs never run.
-        if (is_first_answer or mod_revision == 0) and self.ctx.fits_value_limit(types):
+        is_storable = not read.unusable and self.ctx.fits_value_limit(read.types)
+        if (is_first_answer or mod_revision == 0) and is_storable:
             self.ctx.compare_and_swap(
                 {records.MACHINE_TYPES_KEY: mod_revision},
-                {records.MACHINE_TYPES_KEY: (types, None)},
+                {records.MACHINE_TYPES_KEY: (read.types, None)},
                 [],
                 lambda status, failed_conditions: None,  # the next answer retries
             )
 
-    def _replace_types(self, types: list[m.MachineType]) -> None:
-        self.ctx.machine_types.clear()
-        self.ctx.machine_types.update({machine_type.label: machine_type for machine_type in types})
+    def _replace_types(self, read: m.ReadMachineTypes) -> None:
+        """Replace the known types; those of an answer that can't be used may still be offered as they were."""
+        self.ctx.has_unusable_types = bool(read.unusable)
+        if read.unusable:
+            log.error("unusable machine types: %s", "; ".join(read.unusable))
+        else:
+            self.ctx.machine_types.clear()
+        self.ctx.machine_types.update({machine_type.label: machine_type for machine_type in read.types})
         machine_records = self.ctx.cache.by_kind["roster"]
         for shard in self.shards.values():
             for worker in shard.workers.values():
--- a/quinceslip/coordination/controller/submission_checks.py
+++ b/quinceslip/coordination/controller/submission_checks.py
@@ -32,6 +32,10 @@
                 return reason
         return None
 
+    def awaits_machine_types(self, spec: m.JobSpec) -> bool:
+        """Whether a job fits no type that is known here, but may fit one that the cloud described unusably."""
+        return self.ctx.has_unusable_types and self._no_fitting_type_reason(spec) is not None
+
     def dependency_error(self, spec: m.JobSpec) -> str | None:
         """Return why its dependencies keep a job from ever starting; None if this controller knows of no reason."""
         if spec.job_id in spec.dependencies:
--- a/quinceslip/coordination/controller/submissions.py
+++ b/quinceslip/coordination/controller/submissions.py
@@ -47,6 +47,9 @@
         if not ctx.cache.synced or not ctx.machine_types or not ctx.store_available():
             reply_unavailable(ctx, request)
             return
+        if self.checks.awaits_machine_types(spec):
+            reply_unavailable(ctx, request)
+            return
         spec = m.with_dependencies(spec, list(dict.fromkeys(spec.dependencies)))  # drop duplicates
         job = self._new_record(spec)
         reason = self.checks.rejection_reason(job, spec)
