Settings with infinite or tiny amounts start, or name their field

A team's limit below 0.0005 was rounded to 0, which means unlimited.

Cause: amounts of both files were multiplied, divided and rounded as they were.

--- a/quinceslip/coordination/autoscaling/capacity.py
+++ b/quinceslip/coordination/autoscaling/capacity.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
+from quinceslip.coordination.actor.timing import SECOND, micros
 from quinceslip.protocol.frames import Observation
 
-SECOND = 1_000_000
 #: a pool of machines in the cloud: machine type, zone, spot
 MachinePool = tuple[str, str, bool]
 #: fraction of the calls to the cloud that may retry pools which were out of stock at the last request
@@ -150,7 +150,7 @@
     def backoff_us(self, now_us: int) -> int:
         """Return how long a pool backs off, so that retries of all such pools share a fraction of the cloud's calls."""
         pools = 1 + sum(backoff.until_us > now_us for backoff in self.backoffs.values())
-        return min(max(int(SECOND * pools / (self.calls_per_s * RETRY_FRACTION)), MIN_BACKOFF_US), MAX_BACKOFF_US)
+        return min(max(micros(pools / (self.calls_per_s * RETRY_FRACTION)), MIN_BACKOFF_US), MAX_BACKOFF_US)
 
     def stagger_us(self, origin: str) -> int:
         """Return this controller's retry delay: they retry in turn, `origin` last, so that one answer serves all."""
--- a/quinceslip/coordination/autoscaling/scale_in.py
+++ b/quinceslip/coordination/autoscaling/scale_in.py
@@ -142,7 +142,7 @@
         return not self.headroom.is_needed(worker, scale_in_pass.spare_slots)
 
     def _idle_limit_us(self, boot_us: int) -> int:
-        return max(MIN_IDLE_LIMIT_US, int(self.ctx.tuning.idle_return_factor * boot_us))
+        return max(MIN_IDLE_LIMIT_US, micros(self.ctx.tuning.idle_return_factor * boot_us / SECOND))
 
     @staticmethod
     def _is_needed_by_gang(shard: Shard, worker: Worker) -> bool:
--- a/quinceslip/coordination/controller/read_barrier.py
+++ b/quinceslip/coordination/controller/read_barrier.py
@@ -8,7 +8,7 @@
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.actor.isolation import run_isolated
-from quinceslip.coordination.actor.timing import SECOND
+from quinceslip.coordination.actor.timing import SECOND, micros
 from quinceslip.coordination.controller.replies import reply_unavailable
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
@@ -52,8 +52,8 @@
         self.awaiting_read: list[PendingRequest] = []
         self.awaiting_cache: list[CompletedRead] = []
         self.reading = False
-        request_interval_us = SECOND * ctx.settings.facts.size / (MAX_READ_SHARE * ctx.limits.rps)
-        self.read_interval_us = min(int(request_interval_us), MAX_READ_INTERVAL_US)
+        request_interval_us = micros(ctx.settings.facts.size / (MAX_READ_SHARE * ctx.limits.rps))
+        self.read_interval_us = min(request_interval_us, MAX_READ_INTERVAL_US)
         self.next_read_us = 0
         self.reads_started = 0
 
--- a/quinceslip/coordination/jobs/cancellation_propagation.py
+++ b/quinceslip/coordination/jobs/cancellation_propagation.py
@@ -10,7 +10,7 @@
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.actor.effects import Urgency
-from quinceslip.coordination.actor.timing import SECOND
+from quinceslip.coordination.actor.timing import micros
 from quinceslip.dependencies.graph import DependencyGraph
 from quinceslip.protocol.messages import CANCELLED
 from quinceslip.storage import records
@@ -29,7 +29,7 @@
         #: jobs whose write has not been answered yet
         self.writing: set[str] = set()
         total_writes_per_s = CANCELLATION_WRITE_FRACTION * ctx.limits.write_rps
-        self.write_period_us = int(SECOND * ctx.settings.facts.size / total_writes_per_s)
+        self.write_period_us = micros(ctx.settings.facts.size / total_writes_per_s)
         self.next_write_us = 0
 
     def tick(self) -> None:
--- a/quinceslip/coordination/jobs/result_writer.py
+++ b/quinceslip/coordination/jobs/result_writer.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from quinceslip.coordination.actor.effects import Urgency
-from quinceslip.coordination.actor.timing import SECOND
+from quinceslip.coordination.actor.timing import SECOND, micros
 from quinceslip.coordination.jobs.completion import JobCompletion
 from quinceslip.coordination.jobs.fenced_write import RETRY_US, FencedWriter
 from quinceslip.coordination.shard_state.partition import JobPartition
@@ -59,7 +59,7 @@
     def _result_pause_us(self, partitions: list[JobPartition]) -> int:
         """Return the pause between two writes of one partition that keeps all writes within the budget."""
         with_results = sum(1 for partition in partitions if partition.unrecorded_done)
-        return max(MIN_RESULT_PAUSE_US, int(with_results / self.writes_per_s * SECOND))
+        return max(MIN_RESULT_PAUSE_US, micros(with_results / self.writes_per_s))
 
     def _write_if_due(self, partition: JobPartition, pause_us: int) -> None:
         now_us = self.ctx.now_us
--- a/quinceslip/protocol/settings.py
+++ b/quinceslip/protocol/settings.py
@@ -5,15 +5,19 @@
 
 import configparser
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
+from quinceslip.protocol.messages import MAX_AMOUNT
+
 Positive = Annotated[float, Meta(gt=0)]
 Amount = Annotated[float, Meta(ge=0)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
+#: smaller amounts count as this one, so that a fraction of one is never rounded to 0 and its inverse is a number
+MIN_AMOUNT = 1e-6
 
 #: subsystems that have their own sections in the operators' file
 SUBSYSTEM_SECTIONS = ("quota",)
@@ -176,7 +180,7 @@
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     try:
-        settings = msgspec.toml.decode(data, type=Settings)
+        settings: Settings = _with_bounded_amounts(msgspec.toml.decode(data, type=Settings))
     except msgspec.DecodeError as error:
         raise SettingsError(f"{path}: {error}") from error
     _check_addresses(path, settings)
@@ -185,6 +189,21 @@
     return settings
 
 
+def _with_bounded_amounts(value: Any) -> Any:
+    """Return the value with all amounts in it up to `MAX_AMOUNT` (`inf` stands for "no limit"), and from `MIN_AMOUNT`.
+
+    0 stays 0, since it means "none".
+    """
+    if isinstance(value, float):
+        return min(max(value, MIN_AMOUNT), MAX_AMOUNT) if value > 0 else value
+    if isinstance(value, list):
+        return [_with_bounded_amounts(element) for element in value]
+    if isinstance(value, msgspec.Struct):
+        # Bound: the nesting of `Settings` and `Tuning`.
+        return type(value)(**{name: _with_bounded_amounts(getattr(value, name)) for name in value.__struct_fields__})
+    return value
+
+
 def _check_addresses(path: Path, settings: Settings) -> None:
     """Raise SettingsError for the first field whose address is invalid."""
     addresses = {
@@ -234,4 +253,5 @@
             raise SettingsError(f"{path}: {key} = {value}: {error}") from error
         if key == "log_level" and value not in ("error", "info", "debug"):
             raise SettingsError(f"{path}: log_level = {value}: must be error, info or debug")
-    return msgspec.convert(raw, Tuning, strict=False)
+    tuning: Tuning = _with_bounded_amounts(msgspec.convert(raw, Tuning, strict=False))
+    return tuning
--- a/quinceslip/quota/level_reader.py
+++ b/quinceslip/quota/level_reader.py
@@ -144,7 +144,12 @@
 
 def platform_cap(team: Team) -> Amounts:
     """Return a team's limits from the platform's settings, where 0 means unlimited (DEPLOY)."""
-    return (round(team.cpus_max * 1000) or UNLIMITED, round(team.gpus_max * 1000) or UNLIMITED, UNLIMITED, UNLIMITED)
+    return (_platform_limit(team.cpus_max), _platform_limit(team.gpus_max), UNLIMITED, UNLIMITED)
+
+
+def _platform_limit(amount: float) -> int:
+    """Return a limit as an integer amount; one that would be rounded to 0 must not become unlimited."""
+    return max(1, round(amount * 1000)) if amount else UNLIMITED
 
 
 def platform_guarantee(team: Team) -> Amounts:
--- a/quinceslip/service.py
+++ b/quinceslip/service.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from quinceslip.coordination.actor.effects import Call, Effect, PeerFrameReceived, Reply
-from quinceslip.coordination.actor.timing import SECOND, Timing
+from quinceslip.coordination.actor.timing import SECOND, Timing, micros
 from quinceslip.coordination.controller.controller import Controller
 from quinceslip.coordination.controller.subsystem import SubsystemFactory
 from quinceslip.protocol.settings import Settings, Tuning, split_address
@@ -69,7 +69,7 @@
             settings.outside.state,
             self.actor.post_always,
             min(timing.leader_lease_us // 4, SECOND),
-            pause_us=int(SECOND * facts.size * 4 / facts.state.lowest_limits().rps),
+            pause_us=micros(facts.size * 4 / facts.state.lowest_limits().rps),
         )
 
     def run(self) -> None:
