A token that no controller gave uses up no terms

Callers saw (in simulation): after one worker reported a baton of 2^64 - 1, all terms and attempt numbers of all shards were beyond the protocol's integers, for ever, as terms come from one counter that never goes back.

Cause: a higher token was always followed by a claim above it.

Why it works: a token more than 2^32 above the leader's term is not followed. Its worker gets no answer and is replaced like a silent one.

--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -19,6 +19,10 @@
 #: attempt numbers available to one term; the term is the upper part of a number, so that numbers always rise
 ATTEMPTS_PER_TERM = 2**24
 
+#: A worker's token that is further above the term of its leader was given by no controller. Terms stay below 2**40, as
+#: attempt numbers stay below 2**64 (PROTOCOL): a term above such a token would use up those of all shards.
+MAX_TERM_JUMP = 2**32
+
 #: minimum time between two claims of a higher term
 RAISE_TERM_INTERVAL_US = 3 * SECOND
 
@@ -278,7 +282,10 @@
     # Terms.
 
     def raise_term(self, above: int = 0) -> None:
-        """Claim a term above `above`, which a worker has shown, for this leadership."""
+        """Claim a term above `above`, which a worker has shown, for this leadership; no term if it is implausible."""
+        if above > self.term + MAX_TERM_JUMP:
+            log.info("implausible fencing token shard=%d token=%d term=%d", self.index, above, self.term)
+            return
         if self.ctx.now_us >= self.next_raise_us:
             self.next_raise_us = self.ctx.now_us + RAISE_TERM_INTERVAL_US
             self.election.claim(self.index, above)
--- a/tests/scenario/store.py
+++ b/tests/scenario/store.py
@@ -112,6 +112,11 @@
         change = {"write": f"q/{args[0]}", "v": json.loads(args[1])}
         self.w().store.answer("", "POST", "/txn", {"if": [], "then": [change]})
 
+    def check_highest_term(self, args: list[str], named: dict[str, Any]) -> None:
+        """highest_term OP N: the highest term that was given to any leader"""
+        term = self.w().store.data["q/term"].value["term"]
+        assert COMPARE[args[0]](term, int(args[1])), term
+
     def check_job_writes_per_job(self, args: list[str], named: dict[str, Any]) -> None:
         """job_writes_per_job OP N: writes of job records since `reset_counters`, per job"""
         writes = self.w().store.job_writes - self.baseline["job_writes"]
