A listed machine that can't be adopted keeps no other from it

Callers saw (in a test): a machine of the cloud's list whose name the key-value store refuses as a key is paid for and adopted by nobody, nor is any listed after it.

Cause: each search tries the first machine that nobody has registered, and starts again from it after a failure.

Evidence: the test added here fails before: 0 writes for the machine after it. The simulated store refuses malformed keys now, as the protocol's does.

Why it works: a machine whose adoption failed is passed over for 30 s.

--- a/quinceslip/coordination/autoscaling/adoption.py
+++ b/quinceslip/coordination/autoscaling/adoption.py
@@ -2,6 +2,7 @@
 
 import logging
 from functools import partial
+from http import HTTPStatus
 
 from quinceslip.coordination.actor.compare_and_swap import CompareAndSwapCallback
 from quinceslip.coordination.actor.context import Context
@@ -20,6 +21,8 @@
 #: interval between searches of the list for machines to adopt: where none was found, and after an adoption
 SEARCH_PERIOD_US = SECOND
 ADOPTION_PERIOD_US = 2 * SECOND
+#: a machine whose adoption failed is tried again after this time
+FAILED_ADOPTION_PERIOD_US = 30 * SECOND
 #: a listed machine counts as abandoned only once it is older than this many list lags plus a margin
 MIN_AGE_LAGS = 4
 MIN_AGE_MARGIN_S = 10
@@ -36,6 +39,7 @@
         self.deregistered_us: dict[str, int] = {}  # when a machine left the registry
         self.next_probe_us: dict[str, int] = {}  # when a worker that was probed may be probed again
         self.next_search_us = 0
+        self.next_attempt_us: dict[str, int] = {}  # when a listed machine whose adoption failed may be tried again
 
     def machine_record_changed(self, name: str) -> None:
         """The registry's record of a machine was written or deleted."""
@@ -83,13 +87,23 @@
             machine = listed[name]
             if self._may_be_gone(name, listed_us) or not self._is_abandoned(machine):
                 continue
+            # Guard: a machine that can't be adopted must not keep this search from those after it in the list.
+            if self.ctx.now_us < self.next_attempt_us.get(name, 0):
+                continue
             self.next_search_us = self.ctx.now_us + ADOPTION_PERIOD_US
             log.info("adopted unexpected machine worker=%s shard=%d", name, shard.index)
             record = records.MachineRecord(
                 shard.index, machine.type, machine.zone, machine.spot, machine.endpoint, used=True
             )
-            self._adopt(name, record, lambda status, failed_conditions: None)  # the next search retries
+            self._adopt(name, record, partial(self._on_listed_adopted, name))
             return
+        self.next_attempt_us = {name: at_us for name, at_us in self.next_attempt_us.items() if name in listed}
+
+    def _on_listed_adopted(self, name: str, status: int, failed_conditions: list[str]) -> None:
+        if status == HTTPStatus.OK:
+            self.next_attempt_us.pop(name, None)
+        else:
+            self.next_attempt_us[name] = self.ctx.now_us + FAILED_ADOPTION_PERIOD_US
 
     def _may_be_gone(self, name: str, listed_us: int) -> bool:
         """Whether a machine left the registry so recently that the list may still show it.
--- a/tests/simulation/store.py
+++ b/tests/simulation/store.py
@@ -15,6 +15,9 @@
 #: maximum number of conditions of a transaction, per change that it may have
 CONDITIONS_PER_CHANGE = 4
 
+#: keys have no spaces and at most this length (PROTOCOL)
+MAX_KEY_BYTES = 200
+
 QUOTA_KINDS = ("grant", "want", "tree")
 JOB_KINDS = ("job", "part")
 
@@ -79,6 +82,10 @@
         if not self.is_reachable(controller):
             return 503, {"error": "unavailable"}
         if path == "/txn":
+            if any(
+                " " in _key(change) or len(_key(change).encode()) > MAX_KEY_BYTES for change in body.get("then", [])
+            ):
+                return 400, {"error": "malformed key"}
             return self._transact(body)
         if path == "/holds":
             return self._create_lease(body["lifeMs"] * 1000)
--- a/tests/test_cloud_answers.py
+++ b/tests/test_cloud_answers.py
@@ -65,3 +65,18 @@
             runner.execute_line(line)
     assert 422 not in runner.statuses["req-000003"]
     assert all("unusable machine types: huge" in error for error in errors), errors
+
+
+def test_listed_machine_that_cannot_be_adopted_keeps_no_other_from_it() -> None:
+    # Guards against: the search for machines to adopt tries the first again and again, though it can't be adopted.
+    runner, errors = Runner(), list[str]()
+    with collected_errors(errors):
+        for line in ("site size=1", "machines 1 m a", "run 1"):
+            runner.execute_line(line)
+        world = runner.w()
+        for name in ("a name with spaces", "n-900000"):
+            host = {"endpoint": "10.1.9.9:9000", "build": "m", "yard": "a", "loaners": False, "born": 0}
+            world.cloud.machines[name] = {**host, "uid": name, "status": "running"}
+        runner.execute_line("run 60")
+    assert world.store.change_requests["q/roster/n-900000"] >= 1
+    assert all("rejected 1 changes" in error for error in errors), errors
