Stored counts beyond their bounds end neither submissions nor plans

Callers saw (in tests): with a load record of 10^400 waiting tasks every submission raised; with a scale-out record of 10^11 machines the leader planned without end.

Cause: counts of stored records were used as they were.

The simulated cloud refuses more than 50 machines in a request, as the protocol's does.

Why it works: both counts are limited to what the protocol and our frames allow.

--- a/quinceslip/coordination/autoscaling/scale_out_requests.py
+++ b/quinceslip/coordination/autoscaling/scale_out_requests.py
@@ -43,7 +43,9 @@
 
     def expected_machines(self) -> int:
         """Return how many machines may result from the request that are not in the registry yet."""
-        return self.record.count if self.machines is None else len(self.machines) - len(self.registered)
+        if self.machines is None:
+            return min(self.record.count, MAX_MACHINES_PER_REQUEST)
+        return len(self.machines) - len(self.registered)
 
 
 class ScaleOutRequests:
--- a/quinceslip/coordination/load_balancing/shard_loads.py
+++ b/quinceslip/coordination/load_balancing/shard_loads.py
@@ -10,6 +10,9 @@
 from quinceslip.protocol import frames
 from quinceslip.storage import records
 
+#: more waiting tasks than this count as this many, which is what a peer's heartbeat can tell
+MAX_WAITING_TASKS = 2**32 - 1
+
 
 @dataclass(slots=True)
 class ShardLoads:
@@ -59,7 +62,7 @@
         station = mmm_queue.Station(reported.slots, reported.rate)
         plausible = reported.slots == 0 or mmm_queue.is_plausible(station)
         loads.stations[shard] = station if plausible else mmm_queue.EMPTY_STATION
-        loads.waiting_tasks[shard] = max(0, reported.waiting) if plausible else 0
+        loads.waiting_tasks[shard] = min(max(0, reported.waiting), MAX_WAITING_TASKS) if plausible else 0
         return plausible
 
 
--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -9,6 +9,8 @@
     from tests.simulation.world import World
 
 UNLIMITED = 10**6
+#: maximum number of machines in a rental request (PROTOCOL)
+MAX_MACHINES_PER_REQUEST = 50
 
 
 class SimulatedCloud:
@@ -79,6 +81,8 @@
 
     def _rent(self, body: Any) -> tuple[int, Any]:
         self.rental_requests += 1
+        if body["howMany"] > MAX_MACHINES_PER_REQUEST:
+            return 400, {"error": "malformed"}
         request = body["hire"]
         if request not in self.requests:
             count = min(body["howMany"], self.capacity - len(self.machines))
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -9,12 +9,17 @@
 from hypothesis import strategies as st
 
 from quinceslip.coordination.actor.timing import MAX_DURATION_S, SECOND, micros
+from quinceslip.coordination.controller.controller import Controller
+from quinceslip.coordination.load_balancing.queueing_model import choose_shard
 from quinceslip.coordination.scheduling.machine_room import MachineRoom
 from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.protocol import messages as m
+from quinceslip.protocol.settings import Tuning
 from quinceslip.quota.amounts import task_amounts
 from quinceslip.quota.preemption import GangCapacity
-from tests.simulation.inputs import job_spec
+from quinceslip.storage.records import LoadRecord, load_key
+from tests.scenario.runner import Runner
+from tests.simulation.inputs import job_spec, settings_of
 
 LARGEST, SMALLEST = sys.float_info.max, 5e-324
 amounts = st.one_of(st.sampled_from([0.0, SMALLEST, 1.0, 1e300, LARGEST]), st.floats(0.0, LARGEST))
@@ -70,3 +75,11 @@
     # Guards against: a bound that changes what ordinary jobs ask for.
     spec = spec_of(dueS=None, expectS=86_400.0, vcpus=0.25)
     assert m.with_bounded_amounts(spec) is spec
+
+
+def test_stored_load_that_no_number_can_hold_chooses_a_shard() -> None:
+    # Guards against: a stored count of waiting tasks, whose quotient can't be computed, ends every submission.
+    controller = Controller(settings_of(Runner().facts), Tuning(), 0, 0)
+    controller.ctx.cache.store(load_key(1), LoadRecord(10**400, 4, 0.1, 0.0), 1)
+    loads = controller.load_balancer.load_collector.collect()
+    assert choose_shard(0, loads.stations, loads.waiting_tasks, {}) == 1
