--- a/tests/simulation/checks/starvation.py
+++ b/tests/simulation/checks/starvation.py
@@ -50,7 +50,12 @@
     def task_capacity(self, spec: dict[str, Any], unlimited: int) -> int:
         """How many tasks of a job fit into the free resources; `unlimited` if they need none."""
         needs = [spec[field] for field in RESOURCE_FIELDS.values()]
-        fits = [int((free + ROUNDING_TOLERANCE) // need) for free, need in zip(self.free, needs, strict=True) if need]
+        # A tiny need has an infinite quotient; no more than `unlimited` tasks are asked for.
+        fits = [
+            int(max(min((free + ROUNDING_TOLERANCE) // need, unlimited), -unlimited))
+            for free, need in zip(self.free, needs, strict=True)
+            if need
+        ]
         return max(0, min(fits, default=unlimited))
 
 
