--- a/quinceslip/coordination/actor/context.py
+++ b/quinceslip/coordination/actor/context.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from quinceslip.coordination.actor.compare_and_swap import CompareAndSwapCallback, StoreWriter
+from quinceslip.coordination.actor.compare_and_swap import StoreWriter
 from quinceslip.coordination.actor.timing import SECOND, Timing, micros
 from quinceslip.dependencies.graph import DependencyGraph
 from quinceslip.dependencies.urgency import Urgency as JobUrgency
 from quinceslip.liveness import stall_records
 from quinceslip.protocol import messages
 from quinceslip.protocol.settings import Settings, Team, Tuning
+from quinceslip.storage.records import RecordKind
 
 #: time that a job takes besides its tasks and its image: the writes at its start and end
 JOB_OVERHEAD_US = 2 * SECOND
@@ -16,9 +17,6 @@
 DEFAULT_FETCH_GB_PER_S = 1.0
 MIN_FETCH_GB_PER_S = 0.01
 
-#: former name of `CompareAndSwapCallback`
-CompareAndSwapDone = CompareAndSwapCallback
-
 
 class Context(StoreWriter):
     """State and services shared by the parts of one controller; owned by its actor thread.
@@ -93,7 +91,7 @@
 
     def is_suspended(self, part: str) -> bool:
         """Whether a part is skipped because this controller stalled in it recently (`liveness.stall_records`)."""
-        stall_record = self.cache.by_kind["standstill"].get(self.settings.label)
+        stall_record = self.cache.by_kind[RecordKind.STALL].get(self.settings.label)
         return stall_records.is_suspended(stall_record, part, self.wall_us, self.timing.worker_lease_us)
 
     def progress_count(self) -> int:
--- a/quinceslip/coordination/autoscaling/absorption.py
+++ b/quinceslip/coordination/autoscaling/absorption.py
@@ -3,6 +3,7 @@
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.load_balancing.mmm_queue import Station, is_plausible, is_plausible_rate
 from quinceslip.coordination.shard.shard import Shard
+from quinceslip.storage.records import RecordKind
 
 #: upper bound of the fraction of the work served during a boot that no machine is rented for
 MAX_ABSORBED_FRACTION = 0.4
@@ -12,7 +13,7 @@
 
 def unclaimed_fraction(ctx: Context) -> float:
     """Return the fraction of freed slots that new arrivals will not take: 1 - arrival rate / total capacity."""
-    loads = ctx.cache.by_kind["load"].values()
+    loads = ctx.cache.by_kind[RecordKind.LOAD].values()
     capacity = sum(station.capacity for load in loads if is_plausible(station := Station(load.slots, load.rate)))
     if capacity <= 0:
         return MAX_ABSORBED_FRACTION
--- a/quinceslip/coordination/autoscaling/adoption.py
+++ b/quinceslip/coordination/autoscaling/adoption.py
@@ -12,6 +12,7 @@
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -43,7 +44,7 @@
 
     def machine_record_changed(self, name: str) -> None:
         """The registry's record of a machine was written or deleted."""
-        if name in self.ctx.cache.by_kind["roster"]:
+        if name in self.ctx.cache.by_kind[RecordKind.MACHINE]:
             self.deregistered_us.pop(name, None)
         else:
             self.deregistered_us[name] = self.ctx.now_us
@@ -80,7 +81,7 @@
         shard = self.shards.get(self.election.home)
         if shard is None:
             return
-        machine_records = self.ctx.cache.by_kind["roster"]
+        machine_records = self.ctx.cache.by_kind[RecordKind.MACHINE]
         for position, name in enumerate(sorted(listed)):
             if name in machine_records or name in deleting or position % self.ctx.settings.facts.size != shard.index:
                 continue
--- a/quinceslip/coordination/autoscaling/deregistration.py
+++ b/quinceslip/coordination/autoscaling/deregistration.py
@@ -7,6 +7,7 @@
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -64,7 +65,7 @@
 
     def _forget_finished(self) -> None:
         """Forget machines whose record is deleted or whose shard has another leader."""
-        machine_records = self.ctx.cache.by_kind["roster"]
+        machine_records = self.ctx.cache.by_kind[RecordKind.MACHINE]
         finished = [
             name
             for name, index in self.to_deregister.items()
--- a/quinceslip/coordination/autoscaling/machine_deletion.py
+++ b/quinceslip/coordination/autoscaling/machine_deletion.py
@@ -3,6 +3,7 @@
 import logging
 
 from quinceslip.coordination.actor.context import Context
+from quinceslip.coordination.actor.effects import TARGET_CLOUD
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.autoscaling.capacity import CapacityObservations
 from quinceslip.coordination.autoscaling.deregistration import Deregistration
@@ -54,7 +55,7 @@
                 self._on_indeterminate(shard, batch)
 
         body = m.delete_request(batch)
-        self.ctx.call("cloud", "POST", m.PATH_HOSTS_DELETE, body, on_answered, timeout_us=REQUEST_TIMEOUT_US)
+        self.ctx.call(TARGET_CLOUD, "POST", m.PATH_HOSTS_DELETE, body, on_answered, timeout_us=REQUEST_TIMEOUT_US)
 
     def _on_deleted(self, shard: Shard, names: list[str]) -> None:
         for name in names:
--- a/quinceslip/coordination/autoscaling/machine_list.py
+++ b/quinceslip/coordination/autoscaling/machine_list.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from quinceslip.coordination.actor.context import Context
-from quinceslip.coordination.actor.effects import Urgency
+from quinceslip.coordination.actor.effects import TARGET_CLOUD, Urgency
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.protocol import messages as m
 
@@ -69,7 +69,9 @@
 
     def _request_page(self, after: str, on_page: Callable[[int, bytes], None]) -> None:
         path = m.machines_path(after)
-        self.ctx.call("cloud", "GET", path, None, on_page, timeout_us=REQUEST_TIMEOUT_US, urgency=Urgency.BACKGROUND)
+        self.ctx.call(
+            TARGET_CLOUD, "GET", path, None, on_page, timeout_us=REQUEST_TIMEOUT_US, urgency=Urgency.BACKGROUND
+        )
 
     def _finish(self) -> None:
         self.in_progress = False
--- a/quinceslip/coordination/autoscaling/machine_types.py
+++ b/quinceslip/coordination/autoscaling/machine_types.py
@@ -5,11 +5,12 @@
 import msgspec
 
 from quinceslip.coordination.actor.context import Context
-from quinceslip.coordination.actor.effects import Urgency
+from quinceslip.coordination.actor.effects import TARGET_CLOUD, Urgency
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -29,7 +30,7 @@
 
     def record_changed(self) -> None:
         """Handle a change of the stored record of machine types."""
-        types = self.ctx.cache.by_kind["types"].get("")
+        types = self.ctx.cache.by_kind[RecordKind.MACHINE_TYPES].get("")
         if types:
             self._replace_types(m.usable_machine_types(types))
 
@@ -39,7 +40,7 @@
             return
         self.next_request_us = self.ctx.now_us + RETRY_PERIOD_US
         self.ctx.call(
-            "cloud",
+            TARGET_CLOUD,
             "GET",
             m.PATH_MACHINE_TYPES,
             None,
@@ -88,7 +89,7 @@
         else:
             self.ctx.machine_types.clear()
         self.ctx.machine_types.update({machine_type.label: machine_type for machine_type in read.types})
-        machine_records = self.ctx.cache.by_kind["roster"]
+        machine_records = self.ctx.cache.by_kind[RecordKind.MACHINE]
         for shard in self.shards.values():
             for worker in shard.workers.values():
                 record = machine_records.get(worker.name)
--- a/quinceslip/coordination/autoscaling/scale_out_requests.py
+++ b/quinceslip/coordination/autoscaling/scale_out_requests.py
@@ -9,13 +9,14 @@
 import msgspec
 
 from quinceslip.coordination.actor.context import Context
-from quinceslip.coordination.actor.effects import Urgency
+from quinceslip.coordination.actor.effects import TARGET_CLOUD, Urgency
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.autoscaling.capacity import CapacityObservations
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -90,7 +91,7 @@
 
     def process_open(self) -> None:
         """Send recorded requests and register their machines, including requests recorded by earlier leaders."""
-        recorded = self.ctx.cache.by_kind["hire"]
+        recorded = self.ctx.cache.by_kind[RecordKind.SCALE_OUT]
         for name, record in recorded.items():
             if name not in self.open_requests and record.shard in self.shards:
                 self.open_requests[name] = ScaleOutRequest(name, record.shard, record, recorded=True)
@@ -114,7 +115,7 @@
         record = request.record
         body = m.scale_out_request(request.name, record.type, record.zone, record.spot, record.count)
         on_answered = partial(self._on_answered, request)
-        self.ctx.call("cloud", "POST", m.PATH_HOSTS, body, on_answered, timeout_us=REQUEST_TIMEOUT_US)
+        self.ctx.call(TARGET_CLOUD, "POST", m.PATH_HOSTS, body, on_answered, timeout_us=REQUEST_TIMEOUT_US)
 
     def _on_answered(self, request: ScaleOutRequest, status: int, body: bytes) -> None:
         request.in_flight = False
@@ -149,7 +150,7 @@
         if not self.election.leads(request.shard) or request.machines is None:
             return
         record = request.record
-        machine_records = self.ctx.cache.by_kind["roster"]
+        machine_records = self.ctx.cache.by_kind[RecordKind.MACHINE]
         request.registered |= {name for name in request.machines if name in machine_records}
         missing = [name for name in request.machines if name not in request.registered]
         batch = missing[: self.ctx.limits.txn_ops - 1]
--- a/quinceslip/coordination/connectivity/connectivity.py
+++ b/quinceslip/coordination/connectivity/connectivity.py
@@ -17,6 +17,7 @@
 from quinceslip.coordination.connectivity.misrouted import MIN_SILENT_WORKERS, MisroutedWorkers
 from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.protocol import messages as m
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +67,7 @@
         if not self.yielding or self.ctx.now_us < self._next_probe_us:
             return
         self._next_probe_us = self.ctx.now_us + PROBE_PERIOD_US
-        machine_records = self.ctx.cache.by_kind["roster"].values()
+        machine_records = self.ctx.cache.by_kind[RecordKind.MACHINE].values()
         endpoints = [record.endpoint for record in machine_records if record.endpoint and record.shard == self.home]
         if not endpoints:
             self._contact_restored()
--- a/quinceslip/coordination/connectivity/misrouted.py
+++ b/quinceslip/coordination/connectivity/misrouted.py
@@ -11,6 +11,7 @@
 from quinceslip.coordination.actor.timing import HEARTBEAT_TIMEOUT_US
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 #: with fewer silent or misrouted workers than this, the fault may be their own
 MIN_SILENT_WORKERS = 3
@@ -46,7 +47,7 @@
         return True
 
     def _forget_unregistered(self) -> None:
-        machine_records = self.ctx.cache.by_kind["roster"]
+        machine_records = self.ctx.cache.by_kind[RecordKind.MACHINE]
         if len(self._latest_heartbeats) > 2 * len(machine_records):
             self._latest_heartbeats = {
                 worker: number for worker, number in self._latest_heartbeats.items() if worker in machine_records
@@ -71,7 +72,7 @@
             return
         label = self.ctx.settings.label
         misrouted = [(shard, count) for shard, count in self.counts_by_shard() if count >= MIN_SILENT_WORKERS]
-        if not misrouted and label not in self.ctx.cache.by_kind["stray"]:
+        if not misrouted and label not in self.ctx.cache.by_kind[RecordKind.MISROUTED]:
             return
         self._write_pending = True
         self._next_write_us = self.ctx.now_us + WRITE_PERIOD_US
@@ -94,7 +95,7 @@
         """Number of workers of a shard that reported to peers recently, by the peers' records and our own clock."""
         since_us = self.ctx.now_us - RECORD_MAX_AGE_US
         total = 0
-        for label, record in self.ctx.cache.by_kind["stray"].items():
+        for label, record in self.ctx.cache.by_kind[RecordKind.MISROUTED].items():
             if label == self.ctx.settings.label or self._peer_record_changed_us.get(label, 0) <= since_us:
                 continue
             total += sum(count for misrouted_shard, count in record.misrouted if misrouted_shard == shard)
--- a/quinceslip/coordination/controller/read_barrier.py
+++ b/quinceslip/coordination/controller/read_barrier.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quinceslip.coordination.actor.context import Context
+from quinceslip.coordination.actor.effects import TARGET_STORE
 from quinceslip.coordination.actor.isolation import run_isolated
 from quinceslip.coordination.actor.timing import SECOND, micros
 from quinceslip.coordination.controller.replies import reply_unavailable
@@ -106,7 +107,7 @@
 
         remaining_us = pending[0].received_us + ANSWER_TIMEOUT_US - self.ctx.now_us
         self.ctx.call(
-            "state",
+            TARGET_STORE,
             "GET",
             f"{m.PATH_KV}/{records.UNUSED_KEY}",
             None,
--- a/quinceslip/coordination/controller/record_changes.py
+++ b/quinceslip/coordination/controller/record_changes.py
@@ -12,12 +12,10 @@
 from quinceslip.coordination.load_balancing.load_balancer import LoadBalancer
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.storage.cache import StoreCache
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
-#: kind of job records in the store
-JOB_KIND = "job"
-
 
 class RecordChanges:
     """Dispatches changed records one by one; a handler gets the name of the record within its kind."""
@@ -42,12 +40,12 @@
             for kind in subsystem.kinds:
                 self._handlers[kind] = partial(subsystem.record_changed, kind)
         self._handlers |= {
-            JOB_KIND: self._load_job,
-            "part": self._partition_changed,
-            "roster": self._machine_changed,
-            "shard": self._shard_changed,
-            "stray": connectivity.misrouted.peer_record_changed,
-            "types": self._types_changed,
+            RecordKind.JOB: self._load_job,
+            RecordKind.PARTITION: self._partition_changed,
+            RecordKind.MACHINE: self._machine_changed,
+            RecordKind.SHARD: self._shard_changed,
+            RecordKind.MISROUTED: connectivity.misrouted.peer_record_changed,
+            RecordKind.MACHINE_TYPES: self._types_changed,
         }
 
     def apply(self, changed_keys: Iterable[str]) -> None:
@@ -57,14 +55,14 @@
         that became ready or more urgent as a result come last.
         """
         keys = [StoreCache.split_key(key) for key in changed_keys]
-        graph_changes = self.ctx.graph.records_changed([name for kind, name in keys if kind == JOB_KIND])
+        graph_changes = self.ctx.graph.records_changed([name for kind, name in keys if kind == RecordKind.JOB])
         for kind, name in keys:
             self.ctx.records_applied += 1
             self._apply_isolated(self._handlers.get(kind), kind, name)
         for job_id in graph_changes.ready:
-            self._apply_isolated(self._job_ready, JOB_KIND, job_id)
+            self._apply_isolated(self._job_ready, RecordKind.JOB, job_id)
         for job_id in graph_changes.urgency_changed:
-            self._apply_isolated(self._urgency_changed, JOB_KIND, job_id)
+            self._apply_isolated(self._urgency_changed, RecordKind.JOB, job_id)
 
     @staticmethod
     def _apply_isolated(handler: Callable[[str], None] | None, kind: str, name: str) -> None:
--- a/quinceslip/coordination/controller/worker_heartbeats.py
+++ b/quinceslip/coordination/controller/worker_heartbeats.py
@@ -7,6 +7,7 @@
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.protocol import messages as m
+from quinceslip.storage.records import RecordKind
 
 
 class WorkerHeartbeats:
@@ -33,7 +34,7 @@
         if not self.ctx.cache.synced:
             self.ctx.reply(message.request, 503)
             return
-        record = self.ctx.cache.by_kind["roster"].get(message.heartbeat.worker)
+        record = self.ctx.cache.by_kind[RecordKind.MACHINE].get(message.heartbeat.worker)
         if record is None:
             self._adopt_machine(message)
             return
@@ -78,7 +79,7 @@
         shard = self.home_shard if self.home_shard in self.shards else min(self.shards)
 
         def on_registered(status: int, failed: list[str]) -> None:
-            if message.heartbeat.worker in self.ctx.cache.by_kind["roster"]:
+            if message.heartbeat.worker in self.ctx.cache.by_kind[RecordKind.MACHINE]:
                 self.handle(message)
             else:
                 self.ctx.reply(message.request, 503)
--- a/quinceslip/coordination/leadership/claims.py
+++ b/quinceslip/coordination/leadership/claims.py
@@ -14,6 +14,7 @@
 from quinceslip.coordination.leadership.leader_lease import LeaderLease
 from quinceslip.coordination.leadership.led_shards import LedShards
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -108,7 +109,7 @@
         self.ctx.compare_and_swap(conditions, puts, [], on_claimed, Urgency.USER)
 
     def _next_term(self, observed_term: int) -> int:
-        counter = self.ctx.cache.by_kind["term"].get("")
+        counter = self.ctx.cache.by_kind[RecordKind.TERM].get("")
         return max(counter.term if counter else 0, observed_term) + 1
 
     def _own_term_before_restart(self, shard: int) -> int:
--- a/quinceslip/coordination/load_balancing/load_recorder.py
+++ b/quinceslip/coordination/load_balancing/load_recorder.py
@@ -8,6 +8,7 @@
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 #: window over which the mean arrival rate is computed
 ARRIVAL_WINDOW_US = 60 * SECOND
@@ -71,7 +72,7 @@
         # All arrivals at this controller are attributed to its home shard.
         arrivals = arrival_rate if shard.index == self.election.home else 0.0
         record = records.LoadRecord(shard.waiting_tasks(), slots, rate, arrivals, shard.free_slots())
-        if self.ctx.cache.by_kind["load"].get(str(shard.index)) == record:
+        if self.ctx.cache.by_kind[RecordKind.LOAD].get(str(shard.index)) == record:
             return None
         key = records.load_key(shard.index)
         # Conditional on the record that it replaces, so that a delayed write does not overwrite a newer one.
--- a/quinceslip/coordination/load_balancing/shard_loads.py
+++ b/quinceslip/coordination/load_balancing/shard_loads.py
@@ -9,6 +9,7 @@
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.protocol import frames
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 #: more waiting tasks than this count as this many, which is what a peer's heartbeat can tell
 MAX_WAITING_TASKS = 2**32 - 1
@@ -39,7 +40,7 @@
     def collect(self) -> ShardLoads:
         """Collect the loads of all shards from the freshest source: own state, else heartbeats, else load records."""
         loads = ShardLoads()
-        for name, record in self.ctx.cache.by_kind["load"].items():
+        for name, record in self.ctx.cache.by_kind[RecordKind.LOAD].items():
             if name.isdecimal():
                 self._add_reported(loads, int(name), record)
         for load in self.peers.loads():
--- a/quinceslip/coordination/load_balancing/workload_levels.py
+++ b/quinceslip/coordination/load_balancing/workload_levels.py
@@ -4,6 +4,7 @@
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.load_balancing import mmm_queue, queueing_model
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +46,6 @@
 
     def _total_arrival_rate(self) -> float:
         """Return the tasks per second that arrive at all controllers, by the plausible load records."""
-        load_records = self.ctx.cache.by_kind["load"].values()
+        load_records = self.ctx.cache.by_kind[RecordKind.LOAD].values()
         rates: list[float] = [r.arrival_rate for r in load_records if mmm_queue.is_plausible_rate(r.arrival_rate)]
         return sum(rates)
--- a/quinceslip/coordination/reconciliation/address_checks.py
+++ b/quinceslip/coordination/reconciliation/address_checks.py
@@ -26,13 +26,12 @@
 from quinceslip.coordination.shard_state.state import ShardState
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
 from quinceslip.protocol import messages as m
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
 #: margin beyond twice the lag of the cloud's list, for clock drift
 LIST_MARGIN_US = SECOND // 4
-#: kind of the registry's records in the store
-MACHINE_KIND = "roster"
 
 
 @dataclass(slots=True, eq=False)
@@ -277,5 +276,5 @@
         """Whether the machine registry has a machine of another name at the address."""
         return any(
             record.endpoint == check.endpoint and name != check.worker.name
-            for name, record in self.ctx.cache.by_kind[MACHINE_KIND].items()
+            for name, record in self.ctx.cache.by_kind[RecordKind.MACHINE].items()
         )
--- a/quinceslip/coordination/shard/registration.py
+++ b/quinceslip/coordination/shard/registration.py
@@ -7,13 +7,11 @@
 from quinceslip.coordination.actor.effects import Urgency
 from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 if TYPE_CHECKING:
     from quinceslip.coordination.shard.shard import Shard
 
-#: kind of the machine records in the store
-MACHINE_KIND = "roster"
-
 
 class MachineRegistration:
     """Keeps a shard's workers in step with the machine registry. Owned by its shard.
@@ -36,7 +34,7 @@
         # Guard: it is no earlier if the shard record was our own from before a restart, since whoever led the shard
         # before that may still be in its grace period.
         last_answer_us = shard.led_since_us + timing.grace_us + timing.leader_lease_us
-        for name, record in shard.ctx.cache.by_kind[MACHINE_KIND].items():
+        for name, record in shard.ctx.cache.by_kind[RecordKind.MACHINE].items():
             if record.shard == shard.index:
                 worker = self._get_or_create_worker(name, record)
                 worker.lease_renewed_us = worker.predecessor_renewed_us = last_answer_us
@@ -46,7 +44,7 @@
     def record_changed(self, name: str) -> None:
         """Handle a machine record that was written or deleted, by us or by others."""
         shard = self.shard
-        record = shard.ctx.cache.by_kind[MACHINE_KIND].get(name)
+        record = shard.ctx.cache.by_kind[RecordKind.MACHINE].get(name)
         if record is not None and record.shard == shard.index:
             # A new record was written after our failover, so the worker cannot hold inherited tasks.
             self._get_or_create_worker(name, record)
@@ -79,7 +77,7 @@
 
     def _unregistered_workers(self) -> list[Worker]:
         """The workers to register that are still in the shard and in the registry, ordered by name."""
-        machine_records = self.shard.ctx.cache.by_kind[MACHINE_KIND]
+        machine_records = self.shard.ctx.cache.by_kind[RecordKind.MACHINE]
         candidates = [self.shard.workers.get(name) for name in sorted(self.to_register)]
         return [
             worker
@@ -90,7 +88,7 @@
     def _write_records(self, workers: list[Worker]) -> None:
         """Write their records in one compare-and-swap; the watch then marks them as registered."""
         ctx = self.shard.ctx
-        machine_records = ctx.cache.by_kind[MACHINE_KIND]
+        machine_records = ctx.cache.by_kind[RecordKind.MACHINE]
         self._in_flight.update(workers)
 
         def on_written(status: int, failed: list[str]) -> None:
--- a/quinceslip/feature_gate/gate.py
+++ b/quinceslip/feature_gate/gate.py
@@ -24,6 +24,7 @@
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.feature_gate import CURRENT_LEVEL
 from quinceslip.storage import records
+from quinceslip.storage.records import RecordKind
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +52,7 @@
 
     def is_open(self, level: int) -> bool:
         """Whether this level is active according to the cache; once active, it is so for all controllers for ever."""
-        record = self.ctx.cache.by_kind["rollout"].get("")
+        record = self.ctx.cache.by_kind[RecordKind.ACTIVE_LEVEL].get("")
         return record is not None and record.level >= level
 
     def tick(self) -> None:
@@ -73,7 +74,7 @@
 
     def _controllers_without_support(self) -> list[str]:
         """Return the controllers that, as far as is known here, have not recorded support for this one's level."""
-        supports = self.ctx.cache.by_kind["supports"]
+        supports = self.ctx.cache.by_kind[RecordKind.SUPPORTS]
         return [label for label in self.labels if label not in supports or supports[label].level < self.supported_level]
 
     def _log_progress(self) -> None:
