A want record of no shard ends no exchange of quotas

Cause: names of want records were read by int() in a loop over all of them.

Evidence: want-record-of-no-shard fails before: each tick logs "periodic work of a component failed part=AllocationManager".

Why it works: a name that is no shard's number is passed over.

--- a/quinceslip/quota/allocation_giving.py
+++ b/quinceslip/quota/allocation_giving.py
@@ -14,7 +14,7 @@
 from quinceslip.quota.amounts import ZERO, Amounts, add, amounts_of, elementwise_min, positive_part, subtract
 from quinceslip.quota.preemption import RoomRequest
 from quinceslip.quota.quota_context import QuotaContext
-from quinceslip.quota.quota_records import WANT, AmountKind, PublishedDemand, WantRecord
+from quinceslip.quota.quota_records import WANT, AmountKind, PublishedDemand, WantRecord, shard_of_want_record
 from quinceslip.quota.shard_quota import ShardQuota
 from quinceslip.quota.shortfalls import usage_and_demand
 from quinceslip.quota.unmet_demand import UnmetDemand
@@ -45,9 +45,11 @@
 
     def give_to_others(self, shard: int, shard_quota: ShardQuota) -> None:
         """Give other shards what this one holds and does not use, in the order of their demands."""
-        want_records: dict[int, WantRecord] = {
-            int(name): record for name, record in self.quota.ctx.cache.by_kind[WANT].items() if int(name) != shard
-        }
+        want_records: dict[int, WantRecord] = {}
+        for name, record in self.quota.ctx.cache.by_kind[WANT].items():
+            requester = shard_of_want_record(name)
+            if requester is not None and requester != shard:
+                want_records[requester] = record
         if not want_records:
             return
         fencing = self.quota.election.fencing_condition(shard)
--- a/quinceslip/quota/allocation_manager.py
+++ b/quinceslip/quota/allocation_manager.py
@@ -20,7 +20,7 @@
 from quinceslip.quota.allocations import Allocations
 from quinceslip.quota.pool_taking import PoolTaker
 from quinceslip.quota.quota_context import QuotaContext
-from quinceslip.quota.quota_records import GRANT, TREE, WANT, GrantRecord, TreeRecord, WantRecord
+from quinceslip.quota.quota_records import GRANT, TREE, WANT, GrantRecord, TreeRecord, WantRecord, shard_of_want_record
 from quinceslip.quota.shard_quota import ShardQuota
 from quinceslip.quota.shortfall_publishing import ShortfallPublisher
 from quinceslip.quota.shortfalls import Shortfalls
@@ -64,7 +64,8 @@
             self.allocations.grant_record_changed(name)
             self._writer.request_placement()
         elif kind == WANT:
-            if self._giver.want_record_changed(int(name)):
+            shard = shard_of_want_record(name)
+            if shard is not None and self._giver.want_record_changed(shard):
                 self._next_exchange_us = min(self._next_exchange_us, self.ctx.now_us)
         elif kind == TREE:
             self._tree_updater.tree_record_changed()
--- a/quinceslip/quota/quota_records.py
+++ b/quinceslip/quota/quota_records.py
@@ -83,3 +83,8 @@
 def want_key(shard: int) -> str:
     """Return the key of the record with a shard's requests to the others."""
     return f"{records.PREFIX}{WANT}/{shard}"
+
+
+def shard_of_want_record(name: str) -> int | None:
+    """Return the shard whose requests a want record of this name holds; None if it names no shard."""
+    return int(name) if name.isascii() and name.isdecimal() else None
