--- a/quinceslip/coordination/controller/cancellations.py
+++ b/quinceslip/coordination/controller/cancellations.py
@@ -85,7 +85,7 @@
 
         def on_written(status: int, failed: list[str]) -> None:
             if status == 200:
-                log.info("job cancelled job=%s", job_id)
+                log.info("job cancelled job=%s read_revision=%d", job_id, conditions[key])
                 ctx.delete_obsolete(obsolete_keys[max_deletes:])
                 ctx.reply(request, 200, m.job_answer(job_id, m.CANCELLED))
             elif status == 409 and attempts_left > 1:
--- a/quinceslip/coordination/leadership/claims.py
+++ b/quinceslip/coordination/leadership/claims.py
@@ -120,5 +120,6 @@
         was_leading = shard in self.led_shards.mod_revisions
         self.led_shards.mod_revisions[shard] = self.ctx.cache.mod_revision(records.shard_key(shard))
         self._leaderless_since_us.pop(shard, None)
-        log.info("%s shard=%d term=%d", "term raised" if was_leading else "leadership gained", shard, term)
+        event = "term raised" if was_leading else "leadership gained"
+        log.info("%s shard=%d term=%d revision=%d", event, shard, term, self.led_shards.mod_revisions[shard])
         self.on_gained(shard, term, own_term_before_restart)
--- a/quinceslip/coordination/reconciliation/adoption.py
+++ b/quinceslip/coordination/reconciliation/adoption.py
@@ -76,7 +76,15 @@
             return True
         if exited or worker.name in self.state.unreconciled:
             return False
-        log.error("unexpected task task=%s worker=%s", status.task, worker.name)
+        log.error(
+            "unexpected task task=%s worker=%s attempt=%d state=%s token=%d epoch=%d",
+            status.task,
+            worker.name,
+            status.attempt,
+            status.state,
+            worker.fencing_token,
+            worker.epoch,
+        )
         return True
 
     def _log_duplicate(self, worker: Worker, known: Attempt, status: m.TaskStatus) -> None:
--- a/quinceslip/coordination/reconciliation/attempt_outcomes.py
+++ b/quinceslip/coordination/reconciliation/attempt_outcomes.py
@@ -78,7 +78,13 @@
         partition.failures[attempt.index] = failures
         doublings = min(failures, MAX_RETRY_DOUBLINGS)
         self._delay_retry(partition, attempt.index, min(MAX_RETRY_US, RETRY_BASE_US * 2**doublings))
-        log.info("task failed task=%s worker=%s cause=%s", attempt.name, worker.name, attempt.end_cause)
+        log.info(
+            "task failed task=%s attempt=%d worker=%s cause=%s",
+            attempt.name,
+            attempt.number,
+            worker.name,
+            attempt.end_cause,
+        )
         if attempt.end_cause == m.CAUSE_ERROR:
             self._attribute_failure(worker, attempt, partition, failures)
 
--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from quinceslip.coordination.actor.effects import NOT_SENT
+from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.reconciliation.direct_replies import DirectReplyHandler
 from quinceslip.coordination.shard_state.state import ShardState
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
@@ -48,8 +49,17 @@
             attempt.direct_call_open = True
         worker.command_open = True
 
+        sent_us = self.ctx.now_us
+        _log_commands("commands sent", worker, self.state.term, commands)
+
         def on_reply(status: int, body: bytes) -> None:
             worker.command_open = False
+            log.debug(
+                "commands answered worker=%s status=%d after_s=%.3f",
+                worker.name,
+                status,
+                (self.ctx.now_us - sent_us) / SECOND,
+            )
             for attempt in launches:
                 attempt.direct_call_open = False
                 if status not in FINAL_STATUSES:
@@ -114,5 +124,12 @@
         self.ctx.call(endpoint, "POST", m.PATH_COMMANDS, commands, _ignore_reply)
 
 
+def _log_commands(event: str, worker: Worker, fencing_token: int, commands: list[m.Command]) -> None:
+    """Log at `debug` which attempts a call launches or stops, and under which token and epoch."""
+    if log.isEnabledFor(logging.DEBUG):
+        orders = " ".join(f"{command.op}={command.task}@{command.attempt}" for command in commands)
+        log.debug("%s worker=%s token=%d epoch=%d %s", event, worker.name, fencing_token, worker.epoch, orders)
+
+
 def _ignore_reply(status: int, body: bytes) -> None:
     """Ignore the reply: the machine's next heartbeat shows the effect."""
--- a/quinceslip/coordination/reconciliation/heartbeat_commands.py
+++ b/quinceslip/coordination/reconciliation/heartbeat_commands.py
@@ -1,5 +1,7 @@
 """Commands in the answers to heartbeats."""
 
+import logging
+
 from quinceslip.coordination.jobs.persistence import JobPersistence
 from quinceslip.coordination.reconciliation.command_batch import CommandBatch
 from quinceslip.coordination.reconciliation.launch_safety import LaunchSafety
@@ -9,6 +11,8 @@
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
 from quinceslip.protocol import messages as m
 
+log = logging.getLogger(__name__)
+
 
 class HeartbeatCommands:
     """Builds commands from the difference between the reported and the desired state of a worker."""
@@ -34,6 +38,9 @@
             known = worker.attempts.get(name)
             if known is None or known.number != status.attempt:
                 self.unknown_tasks.add(batch, worker, status, may_launch)
+        if batch.acknowledgements and log.isEnabledFor(logging.DEBUG):
+            attempts = " ".join(f"{command.task}@{command.attempt}" for command in batch.acknowledgements)
+            log.debug("attempts acknowledged worker=%s token=%d %s", worker.name, worker.fencing_token, attempts)
         return batch.in_order()
 
     def _add_for_attempt(self, batch: CommandBatch, worker: Worker, attempt: Attempt, may_launch: bool) -> None:
--- a/quinceslip/coordination/scheduling/task_launcher.py
+++ b/quinceslip/coordination/scheduling/task_launcher.py
@@ -20,7 +20,7 @@
         """Launch a task, under a new attempt number unless one is given."""
         self.launched += 1
         attempt = self.state.launch(partition, index, worker, number)
-        log.debug("task launched task=%s worker=%s", attempt.name, worker.name)
+        log.debug("task launched task=%s attempt=%d worker=%s", attempt.name, attempt.number, worker.name)
         return attempt
 
     def undo(self, partition: JobPartition, attempts: list[Attempt]) -> None:
--- a/quinceslip/coordination/shard/log_summary.py
+++ b/quinceslip/coordination/shard/log_summary.py
@@ -45,6 +45,7 @@
     service_cpus: float = 0.0  # in use by services
     other_cpus: float = 0.0  # in use by other tasks
     total_cpus: float = 0.0  # of all machines whose type is known
+    unacknowledged: int = 0  # ended attempts that their workers have not forgotten yet
 
     def add(self, status: MachineStatus) -> None:
         """Add one machine to the counts."""
@@ -54,6 +55,7 @@
         self.service_cpus += worker.service_cpus
         self.other_cpus += _other_cpus(worker)
         self.total_cpus += _total_cpus(worker)
+        self.unacknowledged += len(worker.attempts) - worker.live_attempt_count
 
     def __str__(self) -> str:
         """The log line, as `key=value`; its length hardly depends on the number of machines."""
@@ -61,7 +63,7 @@
         return (
             f"shard summary shard={self.shard} machines={sum(self.machines.values())} {states} spot={self.spot}"
             f" service_cpus={self.service_cpus:.1f} other_cpus={self.other_cpus:.1f} total_cpus={self.total_cpus:.1f}"
-            f" waiting_tasks={self.waiting_tasks}"
+            f" waiting_tasks={self.waiting_tasks} unacknowledged={self.unacknowledged}"
         )
 
 
--- a/tests/test_shard_summary.py
+++ b/tests/test_shard_summary.py
@@ -69,7 +69,7 @@
     ]
     assert str(summarize(2, 7, statuses)) == (
         "shard summary shard=2 machines=3 usable=1 draining=0 booting=1 out=1 spot=1"
-        " service_cpus=2.0 other_cpus=3.0 total_cpus=16.0 waiting_tasks=7"
+        " service_cpus=2.0 other_cpus=3.0 total_cpus=16.0 waiting_tasks=7 unacknowledged=0"
     )
 
 
@@ -96,4 +96,4 @@
     assert actor is not None
     line = actor.shards[0].summary()
     assert line.startswith("shard summary shard=0 machines=2 usable=2 draining=0 booting=0 out=0 spot=0 "), line
-    assert line.endswith(" waiting_tasks=0") and "other_cpus=0.0" not in line, line
+    assert line.endswith(" waiting_tasks=0 unacknowledged=0") and "other_cpus=0.0" not in line, line
