--- a/tests/scenario/workers.py
+++ b/tests/scenario/workers.py
@@ -6,7 +6,7 @@
 from tests.scenario.state import RunnerState
 from tests.scenario.tools import COMPARE
 from tests.simulation.clock import SECOND_US
-from tests.simulation.faults import HeartbeatCopies, SlowCommands
+from tests.simulation.faults import CommandCopies, HeartbeatCopies, SlowCommands
 
 
 class WorkerVerbs(RunnerState):
@@ -109,6 +109,27 @@
             )
             self.w().begin_fault(float(args[1]) + request_s)
 
+    def on_duplicate_commands(self, args: list[str], named: dict[str, Any]) -> None:
+        """duplicate_commands WORKER|... S [share=P] [min_delay=S] [max_delay=S] [times=N]: late copies of commands
+
+        Of that share of the direct commands that it receives, copies arrive again between the two delays.
+        """
+        min_delay_s, max_delay_s = float(named.get("min_delay", 1)), float(named.get("max_delay", 16))
+        for worker in self._workers(args):
+            worker.command_copies = CommandCopies(
+                self.w().begin_fault(float(args[1])),
+                float(named.get("share", 1)),
+                int(min_delay_s * SECOND_US),
+                int(max_delay_s * SECOND_US),
+                named.get("times", 1),
+            )
+            self.w().begin_fault(float(args[1]) + max_delay_s)
+
+    def check_launches_repeated(self, args: list[str], named: dict[str, Any]) -> None:
+        """launches_repeated OP N: launches that a late copy of a direct command carried out again"""
+        count = self.w().launches_repeated
+        assert COMPARE[args[0]](count, int(args[1])), f"{count} launches carried out again"
+
     def check_not_running(self, args: list[str], named: dict[str, Any]) -> None:
         """not_running UID: none of its tasks runs"""
         running = {t: p for t, p in self.w().checker.observed.running_on.items() if p and t.startswith(args[0] + "/")}
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -11,6 +11,16 @@
     max_delay_us: int = 0
 
 
+class CommandCopies(NamedTuple):
+    """A share of the direct commands that a worker received arrive again, `times` times, at the same machine."""
+
+    until_us: int = 0
+    share: float = 0.0
+    min_delay_us: int = 0
+    max_delay_us: int = 0
+    times: int = 1
+
+
 class SlowCommands(NamedTuple):
     """Direct commands to a worker, or their answers, are delayed; all other messages pass normally."""
 
--- a/tests/simulation/worker.py
+++ b/tests/simulation/worker.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from tests.simulation.clock import SECOND_US
-from tests.simulation.faults import HeartbeatCopies, SlowCommands
+from tests.simulation.faults import CommandCopies, HeartbeatCopies, SlowCommands
 from tests.simulation.task_runner import TaskRunner
 
 if TYPE_CHECKING:
@@ -53,6 +53,7 @@
         # else they hang.
         self.refuses_outbound = False
         self.slow_commands = SlowCommands()
+        self.command_copies = CommandCopies()
         self.loses_undelivered = False  # commands that can't reach it are lost, not delivered later
         self.inbound_blocked_until_us = 0  # until then, its heartbeats arrive, but nothing reaches it
         self.copies = HeartbeatCopies()
@@ -215,6 +216,30 @@
 
     # Direct commands.
 
+    def answer_call(self, body: Any) -> tuple[int, Any]:
+        """Execute a direct command message; late copies of it may follow (`command_copies`)."""
+        self._schedule_copies(body)
+        return self.receive_commands(body)
+
+    def _schedule_copies(self, body: Any) -> None:
+        world, copies = self.world, self.command_copies
+        if world.now_us >= copies.until_us or world.random.random() >= copies.share:
+            return
+        for _ in range(copies.times):
+            delay_us = world.random.randint(copies.min_delay_us, copies.max_delay_us)
+            world.after(delay_us, partial(self._receive_copy, body))
+
+    def _receive_copy(self, body: Any) -> None:
+        """Execute a late copy of a direct command message, or keep it until this machine can be reached again."""
+        if self.is_dead:
+            return
+        if self.is_unreachable():
+            self.undelivered.append(body)
+            return
+        started = set(self.tasks)
+        self.receive_commands(body)
+        self.world.launches_repeated += len(set(self.tasks) - started)
+
     def receive_commands(self, body: Any) -> tuple[int, Any]:
         """Execute a direct command message; answers 409 to an earlier leader or for another agent epoch."""
         if body["baton"] < self.fencing_token or body["stint"] != self.epoch:
--- a/tests/simulation/worker_connection.py
+++ b/tests/simulation/worker_connection.py
@@ -41,7 +41,7 @@
         elif call.path == m.PATH_INSPECT:
             world.after(world.latency(), lambda: respond(200, worker.heartbeat()))
         else:
-            world.after(world.latency(), lambda: respond(*worker.receive_commands(body)))
+            world.after(world.latency(), lambda: respond(*worker.answer_call(body)))
 
     def _worker_at(self, endpoint: str) -> SimulatedWorker | None:
         return next((worker for worker in self.world.workers.values() if worker.host["endpoint"] == endpoint), None)
@@ -55,7 +55,7 @@
         def deliver() -> None:
             current_worker = self._worker_at(call.target)  # by then another machine may have the address
             if current_worker is not None:
-                answer = current_worker.receive_commands(body)
+                answer = current_worker.answer_call(body)
                 world.after(answer_delay_us + world.latency(), lambda: respond(*answer))
 
         world.after(request_delay_us + world.latency(), deliver)
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -61,6 +61,7 @@
         self.kept_heartbeats: list[dict[str, Any]] = []  # copies of heartbeats, delivered at the next claim of a shard
         self.kept_heartbeats_delivered = 0  # number of copies delivered when a shard was claimed
         self.hand_over_lost_us = 0  # when the answer to a hand-over was last lost
+        self.launches_repeated = 0  # number of launches that were carried out again by a late copy of a command
         self.tasks_ended_by_lease = 0  # number of tasks ended by the expiry of their worker's lease
         self.heartbeats = 0
         self.store = SimulatedStore(self)
--- a/tests/test_random_simulations.py
+++ b/tests/test_random_simulations.py
@@ -60,6 +60,18 @@
     return "\n".join([*lines, "run quiescent"])
 
 
+@st.composite
+def command_copy_runs(draw: st.DrawFn) -> str:
+    """The same, while a share of the direct commands arrives again, up to 16 s or minutes later."""
+    *lines, last = draw(preemption_runs()).splitlines()
+    max_delay_s = draw(st.sampled_from([4, 16, 16, 90]))
+    copies = (
+        f"at 0.5 duplicate_commands all 60 share={draw(st.sampled_from([0.3, 1]))} min_delay=1 "
+        f"max_delay={max_delay_s} times={draw(st.integers(1, 2))}"
+    )
+    return "\n".join([*lines, copies, last, "expect launches_repeated == 0"])
+
+
 @st.composite
 def overlapping_fault_runs(draw: st.DrawFn) -> str:
     """Three controllers; restarts, cuts, hangs, outages and late transactions with services, gangs and arrays."""
@@ -186,6 +198,12 @@
     run_scenario(script)
 
 
+@given(command_copy_runs())
+@simulation_settings
+def test_late_copies_of_commands_start_nothing_again(script: str) -> None:
+    run_scenario(script)
+
+
 @given(crowded_runs())
 @simulation_settings
 def test_large_jobs_start_on_a_crowded_fleet(script: str) -> None:
