--- a/quinceslip/coordination/shard/log_summary.py
+++ b/quinceslip/coordination/shard/log_summary.py
@@ -55,7 +55,7 @@
         self.service_cpus += worker.service_cpus
         self.other_cpus += _other_cpus(worker)
         self.total_cpus += _total_cpus(worker)
-        self.unacknowledged += len(worker.attempts) - worker.live_attempt_count
+        self.unacknowledged += sum(bool(attempt.end_cause) for attempt in worker.attempts.values())
 
     def __str__(self) -> str:
         """The log line, as `key=value`; its length hardly depends on the number of machines."""
