--- a/quinceslip/coordination/leadership/claims.py
+++ b/quinceslip/coordination/leadership/claims.py
@@ -1,8 +1,12 @@
 """Claims: when and how a controller takes the leadership of a shard that has no leader.
 
-A claim is a single compare-and-swap. It increments the global term counter and writes the shard record, attached to the
+A claim is a single compare-and-swap. It advances the global term counter and writes the shard record, attached to the
 claimant's lease, on condition that neither has changed since the claimant read it. So each term is issued only once,
 and only one of several concurrent claimants succeeds.
+
+A claim takes `TOKENS_PER_TERM` numbers from the counter: the term, and the fencing tokens above it that the leader may
+give to single workers (`ShardState.raise_fencing_token`). They are below every later term, and are given to no other
+leader.
 """
 
 import logging
@@ -18,6 +22,8 @@
 
 log = logging.getLogger(__name__)
 
+#: fencing tokens of one term, the term itself among them
+TOKENS_PER_TERM = 1024
 #: delay after a failed claim
 CLAIM_RETRY_US = 150_000
 #: additional delay of a claimant for each step in the ring between the shard's home and itself
@@ -103,7 +109,7 @@
                 self.next_claim_us = self.ctx.now_us + CLAIM_RETRY_US
 
         puts = {
-            records.TERM_KEY: (records.TermRecord(term), None),
+            records.TERM_KEY: (records.TermRecord(term + TOKENS_PER_TERM - 1), None),
             key: (records.ShardRecord(self.ctx.settings.label, term), lease_id),
         }
         self.ctx.compare_and_swap(conditions, puts, [], on_claimed, Urgency.USER)
--- a/quinceslip/coordination/reconciliation/address_checks.py
+++ b/quinceslip/coordination/reconciliation/address_checks.py
@@ -6,7 +6,7 @@
 unreconciled and in the machine registry, so that the next leader inherits the check. Any of these clears an address:
 
 - A machine answers there that has none of the tasks and that drops any launch still on its way, since it has shown a
-  later term. Tasks that it does have are stopped first.
+  higher token. Tasks that it does have are stopped first.
 - The cloud lists no other machine there, in a list that cannot be older than the moment at which the last call was
   given up. A call reaches a machine only by a connection made before then, so a later machine receives nothing.
 - Nobody has answered there for the duration of a worker's lease since that moment, and neither the registry nor the
@@ -44,7 +44,7 @@
     worker: Worker
     attempts: list[Attempt]  # launches that another machine there may have carried out, or may still carry out
     is_inherited: bool  # an earlier leader may have sent launches there
-    latest_term: int  # a machine that has shown a later term drops launches still on their way; 0: there are none
+    latest_token: int  # a machine that has shown a higher one drops launches still on their way; 0: there are none
     given_up_us: int  # no call to the address was open after this
     since_us: int
     probing: bool = False  # a call to the address is in flight
@@ -66,7 +66,7 @@
         """Merge a later check of the same worker into this one."""
         self.attempts += other.attempts
         self.is_inherited |= other.is_inherited
-        self.latest_term = max(self.latest_term, other.latest_term)
+        self.latest_token = max(self.latest_token, other.latest_token)
         self.given_up_us = max(self.given_up_us, other.given_up_us)
 
 
@@ -130,19 +130,19 @@
         """Whether another machine at the worker's address may have carried out the launch, or may still do so."""
         if attempt.end_cause and not self.state.is_current(attempt):
             return False
-        return attempt.direct_call_open or attempt.unanswered_call_term > 0 or attempt.answered_by_other_machine
+        return attempt.direct_call_open or attempt.unanswered_call_token > 0 or attempt.answered_by_other_machine
 
     def _make_check(self, worker: Worker, attempts: list[Attempt], is_inherited: bool) -> AddressCheck:
         timeout_us = self.ctx.timeout_us
         given_up_us = max((attempt.given_up_us for attempt in attempts), default=0)
         if any(attempt.direct_call_open for attempt in attempts):
             given_up_us = self.ctx.now_us + timeout_us
-        latest_term = max((attempt.unanswered_call_term for attempt in attempts), default=0)
+        latest_token = max((attempt.unanswered_call_token for attempt in attempts), default=0)
         if is_inherited:
             # An earlier leader may have launched until this one took over, under any term before its first.
             given_up_us = max(given_up_us, self.state.led_since_us + timeout_us)
-            latest_term = max(latest_term, self.takeover_term - 1)
-        return AddressCheck(worker, attempts, is_inherited, latest_term, given_up_us, self.ctx.now_us)
+            latest_token = max(latest_token, self.takeover_term - 1)
+        return AddressCheck(worker, attempts, is_inherited, latest_token, given_up_us, self.ctx.now_us)
 
     # Evidence.
 
@@ -187,7 +187,7 @@
     @staticmethod
     def drops_late_launches(check: AddressCheck, heartbeat: m.WorkerHeartbeat) -> bool:
         """Whether the machine at the address drops all launches sent there that may still arrive."""
-        return not check.latest_term or heartbeat.fencing_token > check.latest_term
+        return not check.latest_token or heartbeat.fencing_token > check.latest_token
 
     @staticmethod
     def _has_open_call(check: AddressCheck) -> bool:
@@ -221,7 +221,7 @@
                 check.attempts.remove(attempt)
                 self.state.release_attempt(attempt)
             else:
-                check.latest_term = max(check.latest_term, attempt.unanswered_call_term)
+                check.latest_token = max(check.latest_token, attempt.unanswered_call_token)
                 check.given_up_us = max(check.given_up_us, attempt.given_up_us)
 
     def _running_checked_tasks(self, check: AddressCheck, heartbeat: m.WorkerHeartbeat) -> list[m.TaskStatus]:
--- a/quinceslip/coordination/reconciliation/address_probes.py
+++ b/quinceslip/coordination/reconciliation/address_probes.py
@@ -54,18 +54,22 @@
             self._send_stops(check, heartbeat, running)
 
     def _send_stops(self, check: AddressCheck, heartbeat: m.WorkerHeartbeat, running: list[m.TaskStatus]) -> None:
-        """Stop tasks at the address, and show the machine there a term by which it drops late launches.
+        """Stop tasks at the address, and show the machine there a token by which it drops late launches.
 
-        If our term is too low for that, claim a higher one first: the machine may obey another leader by now.
+        If our tokens are too low for that, claim a higher term first: the machine may obey another leader by now.
         """
         state = self.state
-        needed_term = max(check.latest_term + 1, heartbeat.fencing_token)
-        if state.term < needed_term:
-            state.raise_term(needed_term - 1)
-        if state.term < heartbeat.fencing_token or not state.election.may_launch(state.index):
+        needed_token = max(check.latest_token + 1, heartbeat.fencing_token)
+        if state.last_fencing_token < needed_token:
+            state.raise_term(needed_token - 1)
+        if state.last_fencing_token < heartbeat.fencing_token or not state.election.may_launch(state.index):
             return
+        fencing_token = state.fencing_token_accepted_after(needed_token)
+        own_worker = state.workers.get(heartbeat.worker)
+        if own_worker is not None:
+            state.raise_fencing_token(own_worker, above=fencing_token - 1)
         stops = [m.stop(status.task, status.attempt, 0.0) for status in running]
-        commands = m.DirectCommands(state.term, heartbeat.epoch, stops)
+        commands = m.DirectCommands(fencing_token, heartbeat.epoch, stops)
         check.probing = True
 
         def on_reply(status: int, body: bytes) -> None:
--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -45,12 +45,14 @@
         commands += [m.launch(a.name, a.number) for a in launches]
         for attempt in stops + launches:
             attempt.sent = True
+        fencing_token = self.state.fencing_token_for(worker)
         for attempt in launches:
             attempt.direct_call_open = True
+            attempt.direct_call_token = fencing_token
         worker.command_open = True
 
         sent_us = self.ctx.now_us
-        _log_commands("commands sent", worker, self.state.term, commands)
+        _log_commands("commands sent", worker, fencing_token, commands)
 
         def on_reply(status: int, body: bytes) -> None:
             worker.command_open = False
@@ -63,8 +65,8 @@
             for attempt in launches:
                 attempt.direct_call_open = False
                 if status not in FINAL_STATUSES:
-                    # The current term, not that of the call: a later one is only seen after the call was given up.
-                    attempt.unanswered_call_term = self.state.term
+                    # The current token, not that of the call: a later one is only seen after the call was given up.
+                    attempt.unanswered_call_token = self.state.fencing_token_for(worker)
                     attempt.given_up_us = self.ctx.now_us
             if status in HEARTBEAT_STATUSES:
                 self._receive_reply(worker, launches, status, body)
@@ -73,7 +75,7 @@
             worker.endpoint,
             "POST",
             m.PATH_COMMANDS,
-            m.DirectCommands(self.state.term, worker.epoch, commands),
+            m.DirectCommands(fencing_token, worker.epoch, commands),
             on_reply,
         )
 
@@ -120,7 +122,8 @@
         """
         log.info("launches revoked worker=%s count=%d", heartbeat.worker, len(launches))
         stops = [m.stop(a.name, a.number, 0.0) for a in launches]
-        commands = m.DirectCommands(self.state.term, heartbeat.epoch, stops)
+        fencing_token = self.state.fencing_token_accepted_after(heartbeat.fencing_token)
+        commands = m.DirectCommands(fencing_token, heartbeat.epoch, stops)
         self.ctx.call(endpoint, "POST", m.PATH_COMMANDS, commands, _ignore_reply)
 
 
--- a/quinceslip/coordination/reconciliation/heartbeat_commands.py
+++ b/quinceslip/coordination/reconciliation/heartbeat_commands.py
@@ -21,7 +21,7 @@
         self.state = state
         self.launch_safety = LaunchSafety(state, persistence)
         self.stop_commands = StopCommands(state, self.launch_safety)
-        self.unknown_tasks = UnknownTasks(state)
+        self.unknown_tasks = UnknownTasks(state, self.launch_safety)
 
     def build(self, worker: Worker, may_launch: bool) -> list[m.Command]:
         """Build the commands in the answer to a worker's last heartbeat; repeated until a heartbeat shows their effect.
@@ -40,7 +40,8 @@
                 self.unknown_tasks.add(batch, worker, status, may_launch)
         if batch.acknowledgements and log.isEnabledFor(logging.DEBUG):
             attempts = " ".join(f"{command.task}@{command.attempt}" for command in batch.acknowledgements)
-            log.debug("attempts acknowledged worker=%s token=%d %s", worker.name, worker.fencing_token, attempts)
+            token = self.state.fencing_token_for(worker)
+            log.debug("attempts acknowledged worker=%s token=%d %s", worker.name, token, attempts)
         return batch.in_order()
 
     def _add_for_attempt(self, batch: CommandBatch, worker: Worker, attempt: Attempt, may_launch: bool) -> None:
@@ -56,10 +57,9 @@
             attempt.sent = True
 
     def _add_acknowledgement(self, batch: CommandBatch, worker: Worker, attempt: Attempt) -> None:
-        """Acknowledge a recorded result, or raise the term if a launch of its attempt may still arrive."""
+        """Acknowledge a recorded result, under a fencing token by which no launch of its attempt arrives afterwards."""
         if not self.launch_safety.is_recorded(attempt):
             return
+        self.launch_safety.fence_launches(worker, attempt)
         if self.launch_safety.may_forget(worker, attempt):
             batch.acknowledgements.append(m.acknowledge_result(attempt.name, attempt.number))
-        else:
-            self.state.raise_term()
--- a/quinceslip/coordination/reconciliation/launch_safety.py
+++ b/quinceslip/coordination/reconciliation/launch_safety.py
@@ -4,10 +4,11 @@
   registered durably (`Placement.usable`).
 - An inherited task waits until all inherited workers are reconciled (`inherited_workers`).
 - A launch that no heartbeat has shown is pinned to its worker until it can no longer arrive: no direct call with it is
-  open, and the worker has shown a later term than that of an unanswered call, so that it drops that call
+  open, and the worker has shown a higher token than that of an unanswered call, so that it drops that call
   (`ShardState.launch_cannot_arrive`).
 - A result is acknowledged only once it is recorded, and not while a launch of its attempt may still arrive: the worker
-  would have forgotten the attempt and would start it again.
+  would have forgotten the attempt and would start it again. An answered direct call may arrive once more at any later
+  time, so the acknowledgement carries a higher fencing token: a worker that carries it out drops the call from then on.
 """
 
 from quinceslip.coordination.jobs.persistence import JobPersistence
@@ -34,5 +35,24 @@
         return self.persistence.is_recorded(attempt) or "recorded" not in self.state.guards
 
     def may_forget(self, worker: Worker, attempt: Attempt) -> bool:
-        """Whether a worker may forget an attempt: no launch still on its way can start it again."""
-        return self.state.launch_cannot_arrive(worker, attempt)
+        """Whether the next answer may let a worker forget an attempt: no launch can start it again afterwards."""
+        is_fenced = self.state.fencing_token_for(worker) > attempt.direct_call_token
+        return self.state.launch_cannot_arrive(worker, attempt) and (is_fenced or "repeated" not in self.state.guards)
+
+    def fence_launches(self, worker: Worker, attempt: Attempt) -> None:
+        """Raise the worker's fencing token above that of every direct call with a launch of the attempt."""
+        if attempt.unanswered_call_token:
+            self._raise_token(worker, attempt.unanswered_call_token)
+        elif "repeated" in self.state.guards:
+            self._raise_token(worker, attempt.direct_call_token)
+
+    def may_forget_unknown(self, worker: Worker) -> bool:
+        """Whether the next answer may let a worker forget attempts that are not known; raises its fencing token for it.
+
+        Calls with their launches carried tokens that the worker had seen when it reported the attempts.
+        """
+        return "repeated" not in self.state.guards or self._raise_token(worker, worker.fencing_token)
+
+    def _raise_token(self, worker: Worker, above: int) -> bool:
+        """Raise a worker's fencing token; not while a direct call is in flight, which the worker would then refuse."""
+        return not worker.command_open and self.state.raise_fencing_token(worker, above)
--- a/quinceslip/coordination/shard/heartbeats.py
+++ b/quinceslip/coordination/shard/heartbeats.py
@@ -45,9 +45,9 @@
         return self._answer(worker, heartbeat) if may_answer else None
 
     def _is_current(self, worker: Worker, heartbeat: m.WorkerHeartbeat, direct: bool) -> bool:
-        """Whether a heartbeat may be applied under our term; if it carries a higher term, claims a still higher one."""
+        """Whether a heartbeat may be applied under our term; if its token is above ours, claims a higher one."""
         shard = self.shard
-        if heartbeat.fencing_token > shard.term:
+        if heartbeat.fencing_token > shard.last_fencing_token:
             shard.raise_term(heartbeat.fencing_token)
             return False
         if shard.is_from_expired_epoch(worker, heartbeat):
@@ -68,7 +68,7 @@
         shard = self.shard
         worker.last_heartbeat_us = shard.ctx.now_us
         worker.lease_renewed_us = max(worker.lease_renewed_us, shard.ctx.now_us)
-        return m.CommandReply(shard.term, shard.command_sender.commands_for(worker, may_launch=False))
+        return self._reply(worker, may_launch=False)
 
     def _may_have_freed_room(self, worker: Worker, used_cpus_before: float) -> bool:
         """Whether waiting tasks may become placeable by a direct reply of the worker."""
@@ -90,6 +90,11 @@
             shard.registration.to_register.add(worker.name)
         shard.placement.place_on_worker(worker)
         may_launch = shard.election.may_launch(shard.index)
-        reply = m.CommandReply(shard.term, shard.command_sender.commands_for(worker, may_launch))
-        worker.delivery.answer_sent(heartbeat, shard.term, reply.commands)
+        reply = self._reply(worker, may_launch)
+        worker.delivery.answer_sent(heartbeat, reply.fencing_token, reply.commands)
         return reply
+
+    def _reply(self, worker: Worker, may_launch: bool) -> m.CommandReply:
+        """Build the commands first: acknowledgements raise the token that the reply carries."""
+        commands = self.shard.command_sender.commands_for(worker, may_launch)
+        return m.CommandReply(self.shard.fencing_token_for(worker), commands)
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -9,6 +9,7 @@
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.actor.timing import SECOND
+from quinceslip.coordination.leadership.claims import TOKENS_PER_TERM
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.coordination.shard_state.policies import QuotaPolicy
@@ -30,7 +31,7 @@
 CAUSE_LOST = "lost"
 
 #: safety checks against running a task twice; `quinceslip model takeover` can leave out one at a time
-ALL_GUARDS = frozenset({"unknown", "higher", "term", "session", "settled", "pinned", "recorded", "address"})
+ALL_GUARDS = frozenset({"unknown", "higher", "term", "session", "settled", "pinned", "recorded", "address", "repeated"})
 
 
 class ShardState:
@@ -43,7 +44,7 @@
         self.ctx = ctx
         self.election = election
         self.index = index
-        self.term = term  # of this leadership; also the fencing token of what is sent
+        self.term = term  # of this leadership; its fencing tokens begin with it (`fencing_token_for`)
         self.attempt_counter = 0  # number of attempts created in this term
         self.led_since_us = ctx.now_us
         self.workers: dict[str, Worker] = {}
@@ -154,7 +155,7 @@
             return True
         if attempt.direct_call_open:
             return False
-        return not attempt.unanswered_call_term or worker.fencing_token > attempt.unanswered_call_term
+        return not attempt.unanswered_call_token or worker.fencing_token > attempt.unanswered_call_token
 
     def possibly_running(self, job_id: str) -> Iterator[tuple[Worker, Attempt]]:
         """Yield the attempts of a job that may be running or may still start, with their workers."""
@@ -279,7 +280,33 @@
             del partition.attempts[attempt.index]
             self.add_pending(partition, [attempt.index])
 
-    # Terms.
+    # Terms and fencing tokens.
+
+    @property
+    def last_fencing_token(self) -> int:
+        """The highest fencing token of this term; every later term of any shard is above it."""
+        return self.term + TOKENS_PER_TERM - 1
+
+    def fencing_token_for(self, worker: Worker) -> int:
+        """Return the fencing token that messages to a worker carry now; it never falls."""
+        return max(self.term, worker.granted_fencing_token, worker.fencing_token)
+
+    def fencing_token_accepted_after(self, shown: int) -> int:
+        """Return the lowest token of this term that is not below `shown`, or the last one if there is none."""
+        return min(max(self.term, shown), self.last_fencing_token)
+
+    def raise_fencing_token(self, worker: Worker, above: int) -> bool:
+        """Let messages to a worker carry a token above `above`; returns False if that needs a higher term first.
+
+        Once the worker has seen that token, it drops every direct call with a lower one, however late it arrives.
+        """
+        if self.fencing_token_for(worker) > above:
+            return True
+        if above >= self.last_fencing_token:
+            self.raise_term()
+            return False
+        worker.granted_fencing_token = above + 1
+        return True
 
     def raise_term(self, above: int = 0) -> None:
         """Claim a term above `above`, which a worker has shown, for this leadership; no term if it is implausible."""
--- a/quinceslip/coordination/shard_state/worker.py
+++ b/quinceslip/coordination/shard_state/worker.py
@@ -31,7 +31,8 @@
     stopping: bool = False  # whether it is to be stopped
     grace_s: float = 0.0  # time to save its progress when it is stopped
     direct_call_open: bool = False  # a direct call with its launch is in flight
-    unanswered_call_term: int = 0  # term in which an unanswered direct call with its launch was given up; 0: none
+    direct_call_token: int = 0  # fencing token of the last direct call with its launch; 0: there was none
+    unanswered_call_token: int = 0  # token of the worker when an unanswered call with its launch was given up; 0: none
     answered_by_other_machine: bool = False  # another machine at its address carried out its launch
     given_up_us: int = 0  # when the last such call was given up, or answered by another machine
     sent: bool = False  # its launch or stop has been sent
@@ -65,7 +66,8 @@
     epoch: int = 0  # agent epoch: rises when the agent restarts or its lease expires
     seq: int = 0  # sequence number within the epoch
     last_own_heartbeat: tuple[int, int] = (0, 0)  # epoch and sequence number of the last periodic one
-    fencing_token: int = 0  # the highest term that the worker has seen
+    fencing_token: int = 0  # the highest fencing token that the worker has seen
+    granted_fencing_token: int = 0  # the highest token given to it alone; 0: none; written by the shard state
     notice_us: int = 0  # when the cloud reclaims it, as announced to it; 0: no notice
 
     # Reconciliation: its lease, and proof of contact.
--- a/quinceslip/models/gap_leader.py
+++ b/quinceslip/models/gap_leader.py
@@ -90,7 +90,7 @@
         reconciler.workers[WORKER] = worker
         attempt = Attempt(JOB_ID, 0, 1, SPEC, WORKER, 0, observed=case.running)
         attempt.stopping = case.cancellation_known
-        attempt.unanswered_call_term = TERM
+        attempt.unanswered_call_token = TERM
         reconciler.partitions[JOB_ID] = JobPartition(JOB_ID, SPEC, SHARD, assigned={0})
         reconciler.attach(worker, attempt)
         if case.running:
--- a/quinceslip/models/takeover/enabled_steps.py
+++ b/quinceslip/models/takeover/enabled_steps.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from quinceslip.coordination.leadership.claims import TOKENS_PER_TERM
 from quinceslip.coordination.shard_state.delivery import MAX_UNANSWERED_PROBES
 from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.models.job import task_index, task_name
@@ -13,6 +14,8 @@
 
 #: maximum number of unanswered writes in flight
 MAX_PENDING_WRITES = 2
+#: maximum number of direct commands of which a copy arrives
+MAX_COPIED_COMMANDS = 1
 
 
 def enabled_steps(world: World) -> Iterator[Step]:
@@ -93,7 +96,7 @@
 
 def _foreign_steps(world: World, number: int, machine: ModelWorker) -> Iterator[Step]:
     """Steps of a machine of another shard, which has the address of a lost one; its own leader renews its lease."""
-    if machine.fencing_token <= world.store.term:
+    if machine.fencing_token < world.store.term + TOKENS_PER_TERM:
         yield Step(StepKind.FOREIGN_TERM_RAISED, number)
     yield from _running_task_steps(number, machine)
 
@@ -131,3 +134,5 @@
         yield Step(StepKind.COMMANDS_ARRIVE, position)
         if commands.on_answer is not None:
             yield Step(StepKind.COMMANDS_TIME_OUT, position)
+        if commands.body.commands and world.network.copied_commands < MAX_COPIED_COMMANDS:
+            yield Step(StepKind.COMMANDS_COPIED, position)
--- a/quinceslip/models/takeover/leader.py
+++ b/quinceslip/models/takeover/leader.py
@@ -103,7 +103,7 @@
         worker = reconciler.workers.get(heartbeat.worker)
         if worker is None:
             return None
-        if heartbeat.fencing_token > reconciler.term:
+        if heartbeat.fencing_token > reconciler.last_fencing_token:
             reconciler.raise_term(heartbeat.fencing_token)
             return None
         if reconciler.is_from_expired_epoch(worker, heartbeat):
@@ -111,14 +111,15 @@
         if not direct and reconciler.is_duplicate(worker, heartbeat):
             return None
         if not reconciler.apply_heartbeat(worker, heartbeat):
-            return m.CommandReply(reconciler.term, [])
+            return m.CommandReply(reconciler.fencing_token_for(worker), [])
         if direct or not reconciler.should_answer(worker, heartbeat):
             return None
         return self._answer(worker, heartbeat)
 
     def _answer(self, worker: Worker, heartbeat: m.WorkerHeartbeat) -> m.CommandReply:
-        reply = m.CommandReply(self.reconciler.term, self.command_sender.commands_for(worker))
-        worker.delivery.answer_sent(heartbeat, self.reconciler.term, reply.commands)
+        commands = self.command_sender.commands_for(worker)
+        reply = m.CommandReply(self.reconciler.fencing_token_for(worker), commands)
+        worker.delivery.answer_sent(heartbeat, reply.fencing_token, reply.commands)
         return reply
 
     def watch(self) -> None:
@@ -140,5 +141,6 @@
     def end_batch(self) -> None:
         """Send direct commands, as the actor does at the end of a batch of messages."""
         self.reconciler.next_raise_us = 0
-        if len(self._network.commands) < MAX_COMMANDS_IN_FLIGHT:
+        originals = [commands for commands in self._network.commands if not commands.is_copy]
+        if len(originals) < MAX_COMMANDS_IN_FLIGHT:
             self.command_sender.send_direct_commands()
--- a/quinceslip/models/takeover/network.py
+++ b/quinceslip/models/takeover/network.py
@@ -17,6 +17,7 @@
     machine_index: int  # in the fleet; the machine to which the connection was made
     body: m.DirectCommands
     on_answer: OnAnswer | None  # None: the sender no longer waits
+    is_copy: bool = False  # of commands that have been delivered
 
 
 @dataclass(slots=True)
@@ -34,6 +35,7 @@
         """Create a network with nothing in flight."""
         self.commands: list[CommandsInFlight] = []
         self.heartbeats: list[DelayedHeartbeat] = []
+        self.copied_commands = 0  # number of delivered commands of which a copy was made
         self._reassigned: dict[str, int] = {}  # reused addresses -> index of the machine there
 
     def call(self, target: str, method: str, path: str, body: Any, on_answer: OnAnswer, timeout_us: int = 0) -> None:
@@ -53,6 +55,12 @@
             if commands.machine_index == lost_index and commands.on_answer is not None:
                 commands.machine_index = new_index
 
+    def copy_commands(self, position: int) -> None:
+        """Leave a copy of direct commands in flight that are delivered next; nobody waits for its answer."""
+        commands = self.commands[position]
+        self.copied_commands += 1
+        self.commands.append(CommandsInFlight(commands.machine_index, commands.body, None, is_copy=True))
+
     def leader_crashed(self) -> None:
         """Discard the callbacks of all commands in flight; their sender no longer waits."""
         for commands in self.commands:
--- a/quinceslip/models/takeover/state_key.py
+++ b/quinceslip/models/takeover/state_key.py
@@ -41,6 +41,7 @@
             tuple(self._machine(machine) for machine in world.workers),
             tuple(self._known_worker(machine) for machine in world.workers),
             tuple(self._commands(commands) for commands in world.network.commands),
+            world.network.copied_commands,
             tuple(self._delayed_heartbeat(delayed) for delayed in world.network.heartbeats),
             self._store(),
             self._partition(),
@@ -69,6 +70,7 @@
         return (
             worker.epoch - machine.epoch if worker.epoch else None,
             self.term_ranks[worker.fencing_token],
+            self.term_ranks[reconciler.fencing_token_for(worker)],
             worker.fenced,
             worker.lease_expired,
             worker.command_open,
@@ -106,7 +108,8 @@
             attempt.direct_call_open,
             attempt.answered_by_other_machine,
             attempt.sent,
-            self.term_ranks[attempt.unanswered_call_term],
+            self.term_ranks[attempt.unanswered_call_token],
+            self.term_ranks[attempt.direct_call_token],
             self.world.partition.attempts.get(attempt.index) is attempt,
         )
 
@@ -114,7 +117,7 @@
         return (
             check.worker.name,
             check.is_inherited,
-            self.term_ranks[check.latest_term],
+            self.term_ranks[check.latest_token],
             check.probing,
             check.occupant,
             tuple(self._attempt(attempt) for attempt in check.attempts),
@@ -128,6 +131,7 @@
             body.epoch - self.world.workers[commands.machine_index].epoch,
             tuple((command.op, command.task, self.attempt_ranks[command.attempt]) for command in body.commands),
             commands.on_answer is not None,
+            commands.is_copy,
         )
 
     def _delayed_heartbeat(self, delayed: DelayedHeartbeat) -> Key:
@@ -172,7 +176,7 @@
 
 
 def _terms(world: World) -> Iterator[int]:
-    """Yield every term in a state; 0 stands for none."""
+    """Yield every term and fencing token in a state; 0 stands for none."""
     reconciler = world.leader.reconciler
     yield 0
     yield world.store.term
@@ -186,12 +190,17 @@
         yield delayed.heartbeat.fencing_token
     for worker in reconciler.workers.values():
         yield worker.fencing_token
-        for attempt in worker.attempts.values():
-            yield attempt.unanswered_call_term
+        yield reconciler.fencing_token_for(worker)
+        yield from _attempt_tokens(worker.attempts.values())
     for check in reconciler.addresses.open.values():
-        yield check.latest_term
-        for attempt in check.attempts:
-            yield attempt.unanswered_call_term
+        yield check.latest_token
+        yield from _attempt_tokens(check.attempts)
+
+
+def _attempt_tokens(attempts: Iterable[Attempt]) -> Iterator[int]:
+    for attempt in attempts:
+        yield attempt.unanswered_call_token
+        yield attempt.direct_call_token
 
 
 def _attempt_numbers(world: World) -> Iterator[int]:
--- a/quinceslip/models/takeover/steps.py
+++ b/quinceslip/models/takeover/steps.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from quinceslip.coordination.actor.effects import CallOutcome
+from quinceslip.coordination.leadership.claims import TOKENS_PER_TERM
 from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.models.job import task_name
 from quinceslip.models.result import Step
@@ -37,6 +38,7 @@
     HEARTBEAT_ARRIVES = "arrive"  # delayed heartbeat `number` arrives
     HEARTBEAT_COPIED = "copy"  # a copy of delayed heartbeat `number` arrives
     COMMANDS_ARRIVE = "do"  # direct commands `number` arrive
+    COMMANDS_COPIED = "twice"  # direct commands `number` arrive, and a copy of them stays in flight
     COMMANDS_TIME_OUT = "give up"  # the call with direct commands `number` times out at the leader
     TASK_DONE = "finish"  # task `task` on worker `number` completes
     TASK_FAILS = "fail"  # task `task` on worker `number` exits with an error
@@ -71,7 +73,7 @@
 
 
 def _raise_term(world: World, step: Step) -> None:
-    world.store.term = max(world.store.term + 1, world.leader.requested_term)
+    world.store.term = max(world.store.term + TOKENS_PER_TERM, world.leader.requested_term + 1)
     world.leader.raise_term(world.store.term)
 
 
@@ -148,6 +150,11 @@
     world.deliver_commands(step.number)
 
 
+def _commands_copied(world: World, step: Step) -> None:
+    world.network.copy_commands(step.number)
+    world.deliver_commands(step.number)
+
+
 def _commands_time_out(world: World, step: Step) -> None:
     commands = world.network.commands[step.number]
     on_answer, commands.on_answer = commands.on_answer, None
@@ -199,7 +206,7 @@
 
 
 def _foreign_term_raised(world: World, step: Step) -> None:
-    _machine(world, step).fencing_token = world.store.term + 1
+    _machine(world, step).fencing_token = world.store.term + TOKENS_PER_TERM
 
 
 _HANDLERS: dict[StepKind, Callable[[World, Step], None]] = {
@@ -223,6 +230,7 @@
     StepKind.HEARTBEAT_ARRIVES: _heartbeat_arrives,
     StepKind.HEARTBEAT_COPIED: _heartbeat_copied,
     StepKind.COMMANDS_ARRIVE: _commands_arrive,
+    StepKind.COMMANDS_COPIED: _commands_copied,
     StepKind.COMMANDS_TIME_OUT: _commands_time_out,
     StepKind.TASK_DONE: _task_done,
     StepKind.TASK_FAILS: _task_fails,
--- a/quinceslip/models/takeover/world.py
+++ b/quinceslip/models/takeover/world.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from quinceslip.coordination.actor.effects import CallOutcome
+from quinceslip.coordination.leadership.claims import TOKENS_PER_TERM
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.models.takeover.leader import LeaderUnderTest
 from quinceslip.models.takeover.network import Network
@@ -48,7 +49,7 @@
     def fail_over(self) -> None:
         """Start a successor under a higher term; answers to its predecessor are discarded."""
         self.network.leader_crashed()
-        self.store.term += 1
+        self.store.term += TOKENS_PER_TERM
         self.leader = LeaderUnderTest(self.store, self.network, self.workers, self.tasks, self._guards)
 
     def deregister(self) -> None:
--- a/quinceslip/storage/records.py
+++ b/quinceslip/storage/records.py
@@ -120,7 +120,7 @@
 
 
 class TermRecord(msgspec.Struct):
-    """The highest term that has been given to any leader."""
+    """The highest term or fencing token that has been given to any leader."""
 
     term: int
 
--- a/tests/test_overlapping_faults.py
+++ b/tests/test_overlapping_faults.py
@@ -101,6 +101,18 @@
     ]
 
 
+def late_command_copies(draw: Draw, at_s: float) -> list[str]:
+    """Direct commands that were carried out arrive again, while jobs end, are cancelled and change hands."""
+    return [
+        f"at {max(1, at_s - 5):.2f} duplicate_commands {draw(st.sampled_from(['all', 'third', 'zone:a']))} 14 "
+        f"share={draw(st.sampled_from([0.3, 1]))} max_delay={draw(st.sampled_from([4, 16, 60]))} "
+        f"times={draw(st.integers(1, 2))}",
+        *(f"at {at_s + draw(tenths(0, 5)):.2f} submit NEW tasks=6 run=2 fails=3 rank=production" for _ in range(2)),
+        *cancellations(draw, at_s),
+        f"at {at_s + draw(tenths(0, 9)):.2f} crash berth-0 restart_after={draw(RESTART_S)}",
+    ]
+
+
 def unreachable_workers(draw: Draw, at_s: float) -> list[str]:
     """A leader ends while machines with long tasks are unreachable, or do not receive its successor's answers."""
     fault = draw(st.sampled_from(["partition zone:a", "block_inbound zone:a", "block_inbound third", "hang third"]))
@@ -409,6 +421,7 @@
     leader_partition,
     leader_changes,
     stale_heartbeats,
+    late_command_copies,
     unreachable_workers,
     delayed_commands,
     late_transactions,
--- a/tests/test_random_simulations.py
+++ b/tests/test_random_simulations.py
@@ -52,7 +52,17 @@
         )
     for _ in range(draw(st.integers(0, 3))):
         verb = draw(
-            st.sampled_from(["hang", "partition", "block_outbound", "block_inbound", "duplicate_heartbeats", "reboot"])
+            st.sampled_from(
+                [
+                    "hang",
+                    "partition",
+                    "block_outbound",
+                    "block_inbound",
+                    "duplicate_heartbeats",
+                    "duplicate_commands",
+                    "reboot",
+                ]
+            )
         )
         lines.append(
             f"at {draw(tenths(8, 20)):.2f} {verb} {draw(AFFECTED_WORKERS)} {draw(st.sampled_from([2, 6, 14, 25]))}"
@@ -107,6 +117,7 @@
                     "block_inbound",
                     "block_inbound",
                     "duplicate_heartbeats",
+                    "duplicate_commands",
                     "isolate",
                     "isolate",
                     "reboot",
@@ -129,6 +140,9 @@
                 "duplicate_heartbeats": f"duplicate_heartbeats {draw(AFFECTED_WORKERS)} {draw(seconds)} "
                 f"times={draw(st.integers(1, 3))} "
                 f"max_delay={draw(seconds) + 16}",
+                "duplicate_commands": f"duplicate_commands {draw(AFFECTED_WORKERS)} {draw(seconds)} "
+                f"share={draw(st.sampled_from([0.3, 1]))} times={draw(st.integers(1, 2))} "
+                f"max_delay={draw(seconds) + 4}",
                 "isolate": f"isolate {one} {draw(st.sampled_from([5, 14, 40]))} "
                 f"{draw(st.sampled_from(['held', 'refused', 'reset']))}",
                 "reboot": f"reboot {draw(AFFECTED_WORKERS)} {draw(st.sampled_from(['', 'replaced']))}",
