--- a/quinceslip/coordination/reconciliation/adoption.py
+++ b/quinceslip/coordination/reconciliation/adoption.py
@@ -50,6 +50,7 @@
             worker.name,
             self.state.ctx.now_us,
             observed=True,
+            direct_call_token=worker.fencing_token,  # the worker has seen the token of any call that launched it
         )
         partition.attempts[index] = attempt
         self.state.attach(worker, attempt)
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -8,6 +8,7 @@
 from quinceslip.coordination.leadership import claims
 from quinceslip.coordination.shard_state import state
 from quinceslip.coordination.shard_state.state import ALL_GUARDS
+from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.models.job import task_name
 from quinceslip.models.takeover.steps import parse_steps, perform
 from quinceslip.models.takeover.world import World
@@ -128,6 +129,19 @@
     assert not machine.tasks
 
 
+def test_late_copy_of_a_launch_is_refused_once_the_adopted_attempt_is_forgotten() -> None:
+    world = world_after("launch:0:0,twice:0:0")
+    name, reconciler = world.workers[0].name, world.leader.reconciler
+    reconciler.machine_gone(name)  # wrongly, so that the worker is added again without its attempts
+    reconciler.workers[name] = Worker(name, None, "z", False, endpoint=name, registered=True)
+    for step in parse_steps("report:0:0,report:0:0"):
+        perform(world, step)
+    assert reconciler.workers[name].attempts
+    forget_exited_attempt(world, m.CAUSE_ERROR)
+    perform(world, parse_steps("do:0:0")[0])
+    assert not world.workers[0].tasks
+
+
 def test_attempts_are_not_forgotten_while_a_direct_call_to_their_worker_is_in_flight() -> None:
     world = world_after("launch:0:0,do:0:0")
     world.workers[0].exit(task_name(0), m.CAUSE_ERROR)
