--- a/tests/scenario/workers.py
+++ b/tests/scenario/workers.py
@@ -110,9 +110,10 @@
             self.w().begin_fault(float(args[1]) + request_s)
 
     def on_duplicate_commands(self, args: list[str], named: dict[str, Any]) -> None:
-        """duplicate_commands WORKER|... S [share=P] [min_delay=S] [max_delay=S] [times=N]: late copies of commands
+        """duplicate_commands WORKER|... S [share=P] [min_delay=S] [max_delay=S] [times=N] [to_address]: copies
 
-        Of that share of the direct commands that it receives, copies arrive again between the two delays.
+        Of that share of the direct commands that it receives, copies arrive late, between the two delays, at the
+        same machine, or with `to_address` at the one that has its address by then.
         """
         min_delay_s, max_delay_s = float(named.get("min_delay", 1)), float(named.get("max_delay", 16))
         for worker in self._workers(args):
@@ -122,6 +123,7 @@
                 int(min_delay_s * SECOND_US),
                 int(max_delay_s * SECOND_US),
                 named.get("times", 1),
+                "to_address" in args,
             )
             self.w().begin_fault(float(args[1]) + max_delay_s)
 
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -12,13 +12,17 @@
 
 
 class CommandCopies(NamedTuple):
-    """A share of the direct commands that a worker received arrive again, `times` times, at the same machine."""
+    """A share of the direct commands that a worker received arrive again, `times` times.
+
+    They arrive at the same machine, or with `to_address` at whichever machine has its address by then.
+    """
 
     until_us: int = 0
     share: float = 0.0
     min_delay_us: int = 0
     max_delay_us: int = 0
     times: int = 1
+    to_address: bool = False
 
 
 class SlowCommands(NamedTuple):
--- a/tests/simulation/worker.py
+++ b/tests/simulation/worker.py
@@ -227,9 +227,16 @@
             return
         for _ in range(copies.times):
             delay_us = world.random.randint(copies.min_delay_us, copies.max_delay_us)
-            world.after(delay_us, partial(self._receive_copy, body))
+            world.after(delay_us, partial(self._deliver_copy, body, copies.to_address))
 
-    def _receive_copy(self, body: Any) -> None:
+    def _deliver_copy(self, body: Any, to_address: bool) -> None:
+        """Deliver a late copy of a direct command message to this machine, or to the one that has its address now."""
+        address = self.host["endpoint"]
+        receivers = [worker for worker in self.world.workers.values() if worker.host["endpoint"] == address]
+        for receiver in receivers if to_address else [self]:
+            receiver.receive_copy(body)
+
+    def receive_copy(self, body: Any) -> None:
         """Execute a late copy of a direct command message, or keep it until this machine can be reached again."""
         if self.is_dead:
             return
