--- a/tests/scenario/controllers.py
+++ b/tests/scenario/controllers.py
@@ -8,7 +8,7 @@
 from quinceslip.feature_gate import PIPELINES
 from quinceslip.protocol.frames import HEADER, PeerHeartbeat, ShardLoad, pack_heartbeat, read_heartbeat
 from tests.scenario.state import RunnerState
-from tests.scenario.tools import COMPARE
+from tests.scenario.tools import COMPARE, terms_given
 from tests.simulation.clock import SECOND_US
 from tests.simulation.faults import StoreCut, WorkerCut
 
@@ -118,7 +118,7 @@
 
     def check_terms(self, args: list[str], named: dict[str, Any]) -> None:
         """terms OP N: leadership terms that have begun, over all shards"""
-        count = self.w().store.data["q/term"][0]["term"]
+        count = terms_given(self.w().store)
         assert COMPARE[args[0]](count, int(args[1])), f"{count} terms"
 
     def check_observations_shared(self, args: list[str], named: dict[str, Any]) -> None:
--- a/tests/scenario/store.py
+++ b/tests/scenario/store.py
@@ -18,7 +18,7 @@
 from quinceslip.storage.records import JobRecord
 from tests.scenario.state import RunnerState
 from tests.scenario.submission import read_spec
-from tests.scenario.tools import COMPARE
+from tests.scenario.tools import COMPARE, terms_given
 from tests.simulation.clock import SECOND_US
 from tests.simulation.faults import LateTransactions, LostAnswers, SlowAnswers
 from tests.simulation.inputs import settings_of
@@ -113,9 +113,9 @@
         self.w().store.answer("", "POST", "/txn", {"if": [], "then": [change]})
 
     def check_highest_term(self, args: list[str], named: dict[str, Any]) -> None:
-        """highest_term OP N: the highest term that was given to any leader"""
-        term = self.w().store.data["q/term"].value["term"]
-        assert COMPARE[args[0]](term, int(args[1])), term
+        """highest_term OP N: the highest term that was given to any leader, counted in terms"""
+        count = terms_given(self.w().store)
+        assert COMPARE[args[0]](count, int(args[1])), count
 
     def check_job_writes_per_job(self, args: list[str], named: dict[str, Any]) -> None:
         """job_writes_per_job OP N: writes of job records since `reset_counters`, per job"""
--- a/tests/scenario/tools.py
+++ b/tests/scenario/tools.py
@@ -8,6 +8,9 @@
 from contextlib import contextmanager
 from typing import Any
 
+from quinceslip.coordination.leadership.claims import TOKENS_PER_TERM
+from tests.simulation.store import SimulatedStore
+
 COMPARE = {"==": operator.eq, "<=": operator.le, ">=": operator.ge}
 
 
@@ -59,3 +62,9 @@
         yield
     finally:
         logger.removeHandler(collector)
+
+
+def terms_given(store: SimulatedStore) -> int:
+    """The number of terms that have been given to leaders; each takes `TOKENS_PER_TERM` numbers from the counter."""
+    counter: int = store.data["q/term"].value["term"]
+    return -(-counter // TOKENS_PER_TERM)
