--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -49,6 +49,7 @@
         for attempt in launches:
             attempt.direct_call_open = True
             attempt.direct_call_token = fencing_token
+            self.state.highest_launch_token = max(self.state.highest_launch_token, fencing_token)
         worker.command_open = True
 
         sent_us = self.ctx.now_us
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -46,6 +46,7 @@
         self.index = index
         self.term = term  # of this leadership; its fencing tokens begin with it (`fencing_token_for`)
         self.attempt_counter = 0  # number of attempts created in this term
+        self.highest_launch_token = 0  # highest fencing token of a direct call with a launch; 0: there was none
         self.led_since_us = ctx.now_us
         self.workers: dict[str, Worker] = {}
         self.partitions: dict[str, JobPartition] = {}  # by job
@@ -295,6 +296,13 @@
         """Return the lowest token of this term that is not below `shown`, or the last one if there is none."""
         return min(max(self.term, shown), self.last_fencing_token)
 
+    def fence_new_worker(self, worker: Worker) -> None:
+        """Let messages to a new machine carry a token above those of all direct calls with launches so far.
+
+        It may have the address of a lost machine, where late copies of calls to that one may still arrive.
+        """
+        self.raise_fencing_token(worker, above=self.highest_launch_token)
+
     def raise_fencing_token(self, worker: Worker, above: int) -> bool:
         """Let messages to a worker carry a token above `above`; returns False if that needs a higher term first.
 
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -152,3 +152,12 @@
     reconciler.workers[world.workers[0].name].command_open = False
     perform(world, parse_steps("report:0:0")[0])
     assert not world.workers[0].tasks
+
+
+def test_a_new_machine_gets_a_token_above_those_of_all_launches_so_far() -> None:
+    world = world_after("launch:0:0,do:0:0")
+    reconciler = world.leader.reconciler
+    launched = reconciler.workers[world.workers[0].name].attempts[task_name(0)]
+    newcomer = Worker("w9", None, "z", False)
+    reconciler.fence_new_worker(newcomer)
+    assert launched.direct_call_token < reconciler.fencing_token_for(newcomer) <= reconciler.last_fencing_token
