--- a/quinceslip/coordination/leadership/claims.py
+++ b/quinceslip/coordination/leadership/claims.py
@@ -5,8 +5,7 @@
 and only one of several concurrent claimants succeeds.
 
 A claim takes `TOKENS_PER_TERM` numbers from the counter: the term, and the fencing tokens above it that the leader may
-give to single workers (`ShardState.raise_fencing_token`). They are below every later term, and are given to no other
-leader.
+give to single workers (`FencingTokens`). They are below every later term, and are given to no other leader.
 """
 
 import logging
--- a/quinceslip/coordination/reconciliation/address_probes.py
+++ b/quinceslip/coordination/reconciliation/address_probes.py
@@ -60,14 +60,14 @@
         """
         state = self.state
         needed_token = max(check.latest_token + 1, heartbeat.fencing_token)
-        if state.last_fencing_token < needed_token:
+        if state.tokens.last < needed_token:
             state.raise_term(needed_token - 1)
-        if state.last_fencing_token < heartbeat.fencing_token or not state.election.may_launch(state.index):
+        if state.tokens.last < heartbeat.fencing_token or not state.election.may_launch(state.index):
             return
-        fencing_token = state.fencing_token_accepted_after(needed_token)
+        fencing_token = state.tokens.accepted_after(needed_token)
         own_worker = state.workers.get(heartbeat.worker)
         if own_worker is not None:
-            state.raise_fencing_token(own_worker, above=fencing_token - 1)
+            state.tokens.raise_above(own_worker, fencing_token - 1)
         stops = [m.stop(status.task, status.attempt, 0.0) for status in running]
         commands = m.DirectCommands(fencing_token, heartbeat.epoch, stops)
         check.probing = True
--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -45,11 +45,10 @@
         commands += [m.launch(a.name, a.number) for a in launches]
         for attempt in stops + launches:
             attempt.sent = True
-        fencing_token = self.state.fencing_token_for(worker)
+        fencing_token = self.state.tokens.current(worker)
         for attempt in launches:
             attempt.direct_call_open = True
-            attempt.direct_call_token = fencing_token
-            self.state.highest_launch_token = max(self.state.highest_launch_token, fencing_token)
+            self.state.tokens.launch_called(attempt, fencing_token)
         worker.command_open = True
 
         sent_us = self.ctx.now_us
@@ -67,7 +66,7 @@
                 attempt.direct_call_open = False
                 if status not in FINAL_STATUSES:
                     # The current token, not that of the call: a later one is only seen after the call was given up.
-                    attempt.unanswered_call_token = self.state.fencing_token_for(worker)
+                    attempt.unanswered_call_token = self.state.tokens.current(worker)
                     attempt.given_up_us = self.ctx.now_us
             if status in HEARTBEAT_STATUSES:
                 self._receive_reply(worker, launches, status, body)
@@ -123,7 +122,7 @@
         """
         log.info("launches revoked worker=%s count=%d", heartbeat.worker, len(launches))
         stops = [m.stop(a.name, a.number, 0.0) for a in launches]
-        fencing_token = self.state.fencing_token_accepted_after(heartbeat.fencing_token)
+        fencing_token = self.state.tokens.accepted_after(heartbeat.fencing_token)
         commands = m.DirectCommands(fencing_token, heartbeat.epoch, stops)
         self.ctx.call(endpoint, "POST", m.PATH_COMMANDS, commands, _ignore_reply)
 
--- a/quinceslip/coordination/reconciliation/heartbeat_commands.py
+++ b/quinceslip/coordination/reconciliation/heartbeat_commands.py
@@ -40,7 +40,7 @@
                 self.unknown_tasks.add(batch, worker, status, may_launch)
         if batch.acknowledgements and log.isEnabledFor(logging.DEBUG):
             attempts = " ".join(f"{command.task}@{command.attempt}" for command in batch.acknowledgements)
-            token = self.state.fencing_token_for(worker)
+            token = self.state.tokens.current(worker)
             log.debug("attempts acknowledged worker=%s token=%d %s", worker.name, token, attempts)
         return batch.in_order()
 
--- a/quinceslip/coordination/reconciliation/launch_safety.py
+++ b/quinceslip/coordination/reconciliation/launch_safety.py
@@ -36,7 +36,7 @@
 
     def may_forget(self, worker: Worker, attempt: Attempt) -> bool:
         """Whether the next answer may let a worker forget an attempt: no launch can start it again afterwards."""
-        is_fenced = self.state.fencing_token_for(worker) > attempt.direct_call_token
+        is_fenced = self.state.tokens.current(worker) > attempt.direct_call_token
         return self.state.launch_cannot_arrive(worker, attempt) and (is_fenced or "repeated" not in self.state.guards)
 
     def fence_launches(self, worker: Worker, attempt: Attempt) -> None:
@@ -55,4 +55,4 @@
 
     def _raise_token(self, worker: Worker, above: int) -> bool:
         """Raise a worker's fencing token; not while a direct call is in flight, which the worker would then refuse."""
-        return not worker.command_open and self.state.raise_fencing_token(worker, above)
+        return not worker.command_open and self.state.tokens.raise_above(worker, above)
--- a/quinceslip/coordination/reconciliation/stop_commands.py
+++ b/quinceslip/coordination/reconciliation/stop_commands.py
@@ -54,4 +54,4 @@
         batch.launches.append(m.launch(attempt.name, attempt.number))
         batch.launches.append(m.stop(attempt.name, attempt.number, 0.0))
         if may_launch:
-            self.state.raise_fencing_token(worker, above=attempt.unanswered_call_token)
+            self.state.tokens.raise_above(worker, attempt.unanswered_call_token)
--- a/quinceslip/coordination/shard/heartbeats.py
+++ b/quinceslip/coordination/shard/heartbeats.py
@@ -47,7 +47,7 @@
     def _is_current(self, worker: Worker, heartbeat: m.WorkerHeartbeat, direct: bool) -> bool:
         """Whether a heartbeat may be applied under our term; if its token is above ours, claims a higher one."""
         shard = self.shard
-        if heartbeat.fencing_token > shard.last_fencing_token:
+        if heartbeat.fencing_token > shard.tokens.last:
             shard.raise_term(heartbeat.fencing_token)
             return False
         if shard.is_from_expired_epoch(worker, heartbeat):
@@ -97,4 +97,4 @@
     def _reply(self, worker: Worker, may_launch: bool) -> m.CommandReply:
         """Build the commands first: acknowledgements raise the token that the reply carries."""
         commands = self.shard.command_sender.commands_for(worker, may_launch)
-        return m.CommandReply(self.shard.fencing_token_for(worker), commands)
+        return m.CommandReply(self.shard.tokens.current(worker), commands)
--- a/quinceslip/coordination/shard/registration.py
+++ b/quinceslip/coordination/shard/registration.py
@@ -60,7 +60,7 @@
             worker = Worker(name, shard.ctx.machine_types.get(record.type), record.zone, record.spot, record.endpoint)
             worker.registered_us = worker.idle_since_us = worker.lease_renewed_us = shard.ctx.now_us
             shard.workers[name] = worker
-            shard.fence_new_worker(worker)
+            shard.tokens.fence_new_worker(worker)
         worker.registered = record.used
         return worker
 
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -9,8 +9,8 @@
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.actor.timing import SECOND
-from quinceslip.coordination.leadership.claims import TOKENS_PER_TERM
 from quinceslip.coordination.leadership.election import LeaderElection
+from quinceslip.coordination.shard_state.fencing_tokens import FencingTokens
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.coordination.shard_state.policies import QuotaPolicy
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
@@ -44,9 +44,9 @@
         self.ctx = ctx
         self.election = election
         self.index = index
-        self.term = term  # of this leadership; its fencing tokens begin with it (`fencing_token_for`)
+        self.term = term  # of this leadership
+        self.tokens = FencingTokens(self)
         self.attempt_counter = 0  # number of attempts created in this term
-        self.highest_launch_token = 0  # highest fencing token of a direct call with a launch; 0: there was none
         self.led_since_us = ctx.now_us
         self.workers: dict[str, Worker] = {}
         self.partitions: dict[str, JobPartition] = {}  # by job
@@ -281,40 +281,7 @@
             del partition.attempts[attempt.index]
             self.add_pending(partition, [attempt.index])
 
-    # Terms and fencing tokens.
-
-    @property
-    def last_fencing_token(self) -> int:
-        """The highest fencing token of this term; every later term of any shard is above it."""
-        return self.term + TOKENS_PER_TERM - 1
-
-    def fencing_token_for(self, worker: Worker) -> int:
-        """Return the fencing token that messages to a worker carry now; it never falls."""
-        return max(self.term, worker.granted_fencing_token, worker.fencing_token)
-
-    def fencing_token_accepted_after(self, shown: int) -> int:
-        """Return the lowest token of this term that is not below `shown`, or the last one if there is none."""
-        return min(max(self.term, shown), self.last_fencing_token)
-
-    def fence_new_worker(self, worker: Worker) -> None:
-        """Let messages to a new machine carry a token above those of all direct calls with launches so far.
-
-        It may have the address of a lost machine, where late copies of calls to that one may still arrive.
-        """
-        self.raise_fencing_token(worker, above=self.highest_launch_token)
-
-    def raise_fencing_token(self, worker: Worker, above: int) -> bool:
-        """Let messages to a worker carry a token above `above`; returns False if that needs a higher term first.
-
-        Once the worker has seen that token, it drops every direct call with a lower one, however late it arrives.
-        """
-        if self.fencing_token_for(worker) > above:
-            return True
-        if above >= self.last_fencing_token:
-            self.raise_term()
-            return False
-        worker.granted_fencing_token = above + 1
-        return True
+    # Terms.
 
     def raise_term(self, above: int = 0) -> None:
         """Claim a term above `above`, which a worker has shown, for this leadership; no term if it is implausible."""
--- a/quinceslip/models/takeover/leader.py
+++ b/quinceslip/models/takeover/leader.py
@@ -103,7 +103,7 @@
         worker = reconciler.workers.get(heartbeat.worker)
         if worker is None:
             return None
-        if heartbeat.fencing_token > reconciler.last_fencing_token:
+        if heartbeat.fencing_token > reconciler.tokens.last:
             reconciler.raise_term(heartbeat.fencing_token)
             return None
         if reconciler.is_from_expired_epoch(worker, heartbeat):
@@ -111,14 +111,14 @@
         if not direct and reconciler.is_duplicate(worker, heartbeat):
             return None
         if not reconciler.apply_heartbeat(worker, heartbeat):
-            return m.CommandReply(reconciler.fencing_token_for(worker), [])
+            return m.CommandReply(reconciler.tokens.current(worker), [])
         if direct or not reconciler.should_answer(worker, heartbeat):
             return None
         return self._answer(worker, heartbeat)
 
     def _answer(self, worker: Worker, heartbeat: m.WorkerHeartbeat) -> m.CommandReply:
         commands = self.command_sender.commands_for(worker)
-        reply = m.CommandReply(self.reconciler.fencing_token_for(worker), commands)
+        reply = m.CommandReply(self.reconciler.tokens.current(worker), commands)
         worker.delivery.answer_sent(heartbeat, reply.fencing_token, reply.commands)
         return reply
 
--- a/quinceslip/models/takeover/state_key.py
+++ b/quinceslip/models/takeover/state_key.py
@@ -70,7 +70,7 @@
         return (
             worker.epoch - machine.epoch if worker.epoch else None,
             self.term_ranks[worker.fencing_token],
-            self.term_ranks[reconciler.fencing_token_for(worker)],
+            self.term_ranks[reconciler.tokens.current(worker)],
             worker.fenced,
             worker.lease_expired,
             worker.command_open,
@@ -190,7 +190,7 @@
         yield delayed.heartbeat.fencing_token
     for worker in reconciler.workers.values():
         yield worker.fencing_token
-        yield reconciler.fencing_token_for(worker)
+        yield reconciler.tokens.current(worker)
         yield from _attempt_tokens(worker.attempts.values())
     for check in reconciler.addresses.open.values():
         yield check.latest_token
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -6,7 +6,7 @@
 import pytest
 
 from quinceslip.coordination.leadership import claims
-from quinceslip.coordination.shard_state import state
+from quinceslip.coordination.shard_state import fencing_tokens
 from quinceslip.coordination.shard_state.state import ALL_GUARDS
 from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.models.job import task_name
@@ -35,7 +35,7 @@
 
 
 def token_ranges(runner: Runner) -> set[tuple[int, int]]:
-    return {(shard.term, shard.last_fencing_token) for shard in led_shards(runner)}
+    return {(shard.term, shard.tokens.last) for shard in led_shards(runner)}
 
 
 def test_no_two_leaderships_share_a_fencing_token() -> None:
@@ -66,7 +66,7 @@
 
 
 def test_attempts_are_acknowledged_after_tokens_of_a_term_are_used_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    for module in (claims, state):
+    for module in (claims, fencing_tokens):
         monkeypatch.setattr(module, "TOKENS_PER_TERM", 2)
     runner = run_scenario(SCENARIO_OF_COPIES)
     states = {task.status for worker in runner.w().workers.values() for task in worker.tasks.values()}
@@ -159,5 +159,5 @@
     reconciler = world.leader.reconciler
     launched = reconciler.workers[world.workers[0].name].attempts[task_name(0)]
     newcomer = Worker("w9", None, "z", False)
-    reconciler.fence_new_worker(newcomer)
-    assert launched.direct_call_token < reconciler.fencing_token_for(newcomer) <= reconciler.last_fencing_token
+    reconciler.tokens.fence_new_worker(newcomer)
+    assert launched.direct_call_token < reconciler.tokens.current(newcomer) <= reconciler.tokens.last
