--- /dev/null
+++ b/review/standins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: state service, cloud, machines with workers, users, controllers."""
