--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -163,10 +163,12 @@
             self.cloud.hosts[name] |= {"status": "running", "endpoint": self.workers[name].server.address}
             self.note("machine up", name)
 
-    async def machine_up(self, label: str, yard: str) -> Worker:
-        """Add a machine that is up at once."""
+    async def machine_up(self, label: str, yard: str, controller: int | None = None) -> Worker:
+        """Add a machine that is up at once; `controller` is the position of the one that it reports to first."""
         boot_s, self.boot_s = self.boot_s, 0.0
         name = self.cloud.add(label, yard)
+        if controller is not None:
+            self.workers[name].current = controller
         while not self.workers[name].server.port:
             await asyncio.sleep(0.01)
         self.boot_s = boot_s
