--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -225,6 +225,15 @@
             process.kill()
         await process.wait()
 
+    def start_later(self, label: str, seconds: float) -> None:
+        """Start a controller after a while."""
+
+        async def start() -> None:
+            await asyncio.sleep(seconds)
+            await self.start(label)
+
+        self._background.append(asyncio.create_task(start()))
+
     def signal(self, label: str, number: signal.Signals) -> None:
         """Send a controller a signal."""
         self.note("signal", number.name, label)
@@ -232,12 +241,13 @@
 
     async def end(self) -> None:
         """End all that was started."""
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
         for label in list(self.processes):
             await self.kill(label)
         for worker in self.workers.values():
             worker.end()
-        for task in self._background:
-            task.cancel()
 
     # Users.
 
@@ -288,9 +298,13 @@
     record = Path(file).resolve().parent / "record.txt"
 
     async def run() -> int:
+        running = asyncio.current_task()
+        assert running is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, running.cancel)
         try:
             return await asyncio.wait_for(case(trouble, record), 115.0)
-        except Exception as error:  # noqa: BLE001 - a case that can't run says why
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - a case that can't run says why
             with record.open("a", encoding="utf-8") as lines:
                 lines.write(f"could not run: {type(error).__name__}: {error}\n")
             return 2
