--- a/quinceslip/coordination/jobs/partition_loader.py
+++ b/quinceslip/coordination/jobs/partition_loader.py
@@ -56,6 +56,7 @@
         partition = self.state.partitions.pop(job_id, None)
         if partition is not None:
             self.results.clear_dirty(job_id)
+            self.state.drop_withheld_gang(partition)
             self._stop_cancelled_job(partition)
 
     def _stop_cancelled_job(self, partition: JobPartition) -> None:
--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -92,7 +92,7 @@
         """Send a worker its stops and launches that have not been sent yet."""
         unsent = [a for a in worker.attempts.values() if not a.sent and not a.end_cause]
         stops = [a for a in unsent if a.stopping and a.observed and a.state != m.FLUSHING]
-        launches = [a for a in unsent if not a.stopping and not a.observed]
+        launches = [a for a in unsent if not a.stopping and not a.observed and not a.withheld]
         if stops or launches:
             self.send(worker, stops, launches)
 
--- a/quinceslip/coordination/reconciliation/heartbeat_commands.py
+++ b/quinceslip/coordination/reconciliation/heartbeat_commands.py
@@ -32,6 +32,8 @@
         for attempt in list(worker.attempts.values()):
             if attempt.observed and not attempt.stopping and not attempt.end_cause:
                 continue  # already in the desired state
+            if attempt.withheld and not attempt.stopping:
+                continue  # its gang is not complete
             if may_launch or self.stop_commands.may_stop_without_leadership(attempt):
                 self._add_for_attempt(batch, worker, attempt, may_launch)
         for name, status in worker.reported_tasks.items():
--- a/quinceslip/coordination/reconciliation/reconciler.py
+++ b/quinceslip/coordination/reconciliation/reconciler.py
@@ -102,7 +102,7 @@
         worker.last_contact_us = self.ctx.now_us
         if worker.type is None:
             worker.type = self.ctx.machine_types.get(heartbeat.type)
-        worker.zone = heartbeat.zone
+        self.set_zone(worker, heartbeat.zone)
         worker.spot = heartbeat.spot
         if heartbeat.notice_s is not None and not worker.notice_us:
             self._drain_for_reclaim(worker, heartbeat.notice_s)
--- a/quinceslip/coordination/scheduling/independent_tasks.py
+++ b/quinceslip/coordination/scheduling/independent_tasks.py
@@ -7,9 +7,10 @@
 from quinceslip.coordination.scheduling.preemption import Preemption
 from quinceslip.coordination.scheduling.quota_gate import QuotaGate
 from quinceslip.coordination.scheduling.task_launcher import TaskLauncher
+from quinceslip.coordination.scheduling.zone_constraints import EligibleZones
 from quinceslip.coordination.shard_state.partition import FIRST_TASK, JobPartition
 from quinceslip.coordination.shard_state.state import ShardState
-from quinceslip.coordination.shard_state.worker import Worker, fits
+from quinceslip.coordination.shard_state.worker import Worker
 
 
 @dataclass(slots=True)
@@ -43,6 +44,7 @@
             return
         with delayed_retries_withheld(partition, self.state.ctx.now_us) as withheld:
             turn = _Turn(context, partition, withheld, self.launcher.launched)
+            context.budget.spend(len(offered))
             out_of_room = self._fill_machines(turn, offered)
             if out_of_room and context.whole_shard:
                 out_of_room = self._preempt_for_rest(turn)
@@ -62,32 +64,39 @@
         """Launch the tasks that fit on the machine; return whether more of the partition may start in this pass."""
         partition = turn.partition
         # Bound: the waiting tasks; each iteration removes one, and withheld ones are returned after the loop.
-        while partition.pending and fits(worker.free(), partition.spec):
+        while partition.pending and worker.has_room_for(partition.spec):
             if not self.quota_gate.admits_one(turn.context, partition) or self._single_start_made(turn):
                 return False
+            if turn.context.must_stop():
+                return False
             index = partition.pending.peek()
             partition.pending.discard(index)
             if has_attempt_of(worker, f"{partition.job_id}/{index}"):
                 turn.withheld.append(index)
                 continue
             self.launcher.launch(partition, index, worker)
+            turn.context.task_launched()
         return True
 
     def _preempt_for_rest(self, turn: _Turn) -> bool:
         """Preempt other work for the tasks that still wait; return whether there is none left to preempt."""
         context, partition = turn.context, turn.partition
+        search = self.preemption.search(partition, context.machines, context.budget)
+        any_zone = EligibleZones(self.state, partition)
         # Bound: the waiting tasks; each iteration launches one.
         while (
             partition.pending
             and self.quota_gate.admits_one(context, partition, context.machines, machines_full=True)
             and not self._single_start_made(turn)
+            and not context.must_stop()
         ):
-            worker = self.preemption.make_room(partition, context.machines, None, exclude_slow_fetch=False)
+            worker = search.make_room(any_zone, exclude_slow_fetch=False)
             if worker is None:
                 return True
             index = partition.pending.peek()
             partition.pending.discard(index)
             self.launcher.launch(partition, index, worker)
+            context.task_launched()
         return False
 
     def _single_start_made(self, turn: _Turn) -> bool:
--- a/quinceslip/coordination/scheduling/machine_preference.py
+++ b/quinceslip/coordination/scheduling/machine_preference.py
@@ -6,7 +6,7 @@
 from quinceslip.coordination.scheduling.machine_eligibility import satisfies_constraints
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.coordination.shard_state.state import ShardState
-from quinceslip.coordination.shard_state.worker import Worker, fits
+from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.protocol import messages as m
 
 #: fraction of the acceptable wait that a fetch may take: it may be a third slower than the rate of the machine type,
@@ -43,31 +43,16 @@
         shape: the best machine stays the best as it fills up, and the others keep the order they were first sorted in.
         """
         if self.state.quota is None or partition.crash_loop.failure_workers:
-            return self._sorted(partition, workers)
+            return self.sorted_machines(partition, workers)
         shape = _task_shape(partition.spec)
         order = self._order_by_task_shape.get(shape)
         if order is None:
-            order = self._order_by_task_shape[shape] = deque(self._sorted(partition, workers))
+            order = self._order_by_task_shape[shape] = deque(self.sorted_machines(partition, workers))
         # Bound: the machines in order; each iteration drops one.
-        while order and not fits(order[0].free(), partition.spec):
+        while order and not order[0].has_room_for(partition.spec):
             order.popleft()
         return order
 
-    def best_machine(
-        self, partition: JobPartition, workers: Iterable[Worker], zones: set[str] | None, index: int
-    ) -> Worker | None:
-        """Return the best machine in those zones that has no attempt of the task; None if no machine has room."""
-        spec = partition.spec
-        task = f"{partition.job_id}/{index}"
-        suitable = (
-            worker
-            for worker in workers
-            if fits(worker.free(), spec)
-            and satisfies_constraints(worker, spec, zones)
-            and not has_attempt_of(worker, task)
-        )
-        return min(suitable, key=lambda worker: self._sort_key(partition, worker), default=None)
-
     def fetch_too_slow(self, worker: Worker, spec: m.JobSpec) -> bool:
         """Whether fetching the task's image there takes longer than users accept to wait for a start."""
         if worker.type is None or spec.image in worker.images:
@@ -79,12 +64,12 @@
         max_wait_s = self._max_wait_s.get(spec.job_class)
         return max_wait_s is None or spec.image_gb <= USABLE_FETCH_FRACTION * max_wait_s * machine_type.fetch_gb_per_s
 
-    def _sorted(self, partition: JobPartition, workers: Iterable[Worker]) -> list[Worker]:
-        """Return the machines that have room, best fit first, after the preferences of `_sort_key`."""
+    def sorted_machines(self, partition: JobPartition, workers: Iterable[Worker]) -> list[Worker]:
+        """Return the machines that have room for a task, best fit first, after the preferences of `_sort_key`."""
         found = [
             (self._sort_key(partition, worker), worker)
             for worker in workers
-            if fits(worker.free(), partition.spec) and satisfies_constraints(worker, partition.spec, None)
+            if worker.has_room_for(partition.spec) and satisfies_constraints(worker, partition.spec, None)
         ]
         found.sort(key=lambda keyed: keyed[0])
         return [worker for _, worker in found]
--- a/quinceslip/coordination/scheduling/preemption.py
+++ b/quinceslip/coordination/scheduling/preemption.py
@@ -13,6 +13,8 @@
 from quinceslip.coordination.scheduling.machine_eligibility import MachineEligibility, satisfies_constraints
 from quinceslip.coordination.scheduling.machine_preference import MachinePreference
 from quinceslip.coordination.scheduling.machine_room import MachineRoom
+from quinceslip.coordination.scheduling.work_budget import WorkBudget
+from quinceslip.coordination.scheduling.zone_constraints import EligibleZones
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.coordination.shard_state.policies import PreemptionPolicy
 from quinceslip.coordination.shard_state.state import ShardState
@@ -59,6 +61,10 @@
         self.eligibility = eligibility
         self.preference = preference
 
+    def search(self, partition: JobPartition, machines: CandidateMachines, budget: WorkBudget) -> "RoomSearch":
+        """Return a search for machines for the tasks of a partition, valid for one turn of the actor."""
+        return RoomSearch(self, partition, machines, budget)
+
     def make_room(
         self, partition: JobPartition, machines: CandidateMachines, zones: set[str] | None, exclude_slow_fetch: bool
     ) -> Worker | None:
@@ -131,6 +137,23 @@
             self.state.stop(victim, grace_s=0.0)
 
 
+class RoomSearch:
+    """Makes room for the tasks of one partition, one by one."""
+
+    def __init__(
+        self, preemption: Preemption, partition: JobPartition, machines: CandidateMachines, budget: WorkBudget
+    ) -> None:
+        self._preemption = preemption
+        self._partition = partition
+        self._machines = machines
+        self._budget = budget
+
+    def make_room(self, eligible: EligibleZones, exclude_slow_fetch: bool) -> Worker | None:
+        """Stop lower-priority work and return its machine, whose room the task takes at once; None if not possible."""
+        self._budget.spend(sum(1 + worker.live_attempt_count for worker in self._machines.workers))
+        return self._preemption.make_room(self._partition, self._machines, eligible.zones, exclude_slow_fetch)
+
+
 def _preselect(machines: CandidateMachines, spec: m.JobSpec, guaranteed: bool) -> list[Worker]:
     """Return the machines that may have victims, judged by their totals: most machines have none."""
     return [
--- a/quinceslip/coordination/scheduling/reservation.py
+++ b/quinceslip/coordination/scheduling/reservation.py
@@ -14,6 +14,7 @@
 from quinceslip.coordination.actor.timing import SECOND, micros
 from quinceslip.coordination.scheduling.ageing import Ageing
 from quinceslip.coordination.scheduling.machine_room import MachineRoom
+from quinceslip.coordination.scheduling.work_budget import WorkBudget
 from quinceslip.coordination.scheduling.zone_constraints import max_tasks_per_zone
 from quinceslip.coordination.shard_state.partition import AGED, JobPartition
 from quinceslip.coordination.shard_state.worker import Worker
@@ -71,7 +72,7 @@
         ):
             self._release()
 
-    def reserve(self, partition: JobPartition, machines: Iterable[Worker]) -> None:
+    def reserve(self, partition: JobPartition, machines: Iterable[Worker], budget: WorkBudget) -> None:
         """Reserve some of `machines`, those that it may use, for a partition for which none has room.
 
         One partition at a time has machines reserved: the first of the highest priority.
@@ -87,7 +88,7 @@
         holder = self.holder
         if holder is not None and holder is not partition and holder.sort_key() <= partition.sort_key():
             return
-        names = self._soonest_machines(partition, list(machines))
+        names = self._soonest_machines(partition, list(machines), budget)
         if not names:
             self._release()
             return
@@ -105,8 +106,9 @@
         """Drop the reservation."""
         self.holder, self.machines = None, frozenset()
 
-    def _soonest_machines(self, partition: JobPartition, machines: list[Worker]) -> frozenset[str]:
+    def _soonest_machines(self, partition: JobPartition, machines: list[Worker], budget: WorkBudget) -> frozenset[str]:
         """Return the machines that will have the room soonest; none if all of them together never will."""
+        budget.spend(sum(1 + worker.live_attempt_count for worker in machines))
         soonest: ReservationPlan | None = None
         for group in _machine_groups(partition.spec, machines):
             plan = _first_sufficient(partition, sorted(self._forecasts(partition, group)))
--- a/quinceslip/coordination/scheduling/task_launcher.py
+++ b/quinceslip/coordination/scheduling/task_launcher.py
@@ -22,10 +22,3 @@
         attempt = self.state.launch(partition, index, worker, number)
         log.debug("task launched task=%s attempt=%d worker=%s", attempt.name, attempt.number, worker.name)
         return attempt
-
-    def undo(self, partition: JobPartition, attempts: list[Attempt]) -> None:
-        """Undo launches of this batch, none of which has been sent yet."""
-        for attempt in attempts:
-            self.state.detach(self.state.workers[attempt.worker], attempt.name)
-            del partition.attempts[attempt.index]
-        self.launched -= len(attempts)
--- a/quinceslip/coordination/shard_state/partition.py
+++ b/quinceslip/coordination/shard_state/partition.py
@@ -46,6 +46,7 @@
     pending: TaskQueue = field(default_factory=TaskQueue)  # waiting for a machine
     unreconciled: set[int] = field(default_factory=set)  # inherited while not all registered workers are reconciled
     attempts: dict[int, Attempt] = field(default_factory=dict)  # the current attempt of a task
+    withheld_gang: list[Attempt] = field(default_factory=list)  # of a gang of which not all have a machine yet
     not_before: dict[int, int] = field(default_factory=dict)  # earliest time of the retry of a failed task
     failures: dict[int, int] = field(default_factory=dict)  # number of failures by task
 
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.actor.timing import SECOND
@@ -14,6 +14,7 @@
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.coordination.shard_state.policies import QuotaPolicy
 from quinceslip.coordination.shard_state.worker import Attempt, Worker
+from quinceslip.coordination.shard_state.zone_counts import ZoneCounts
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +60,9 @@
         self.queue_order: list[JobPartition] | None = None  # `queued` in order; None: to be sorted again
         self.attempts_by_job: dict[str, set[Attempt]] = {}  # attempts that may still be on machines
         self.kept_attempts: dict[Attempt, Worker] = {}  # of lost workers; another machine at the address may have them
+        self._live_zones = ZoneCounts()  # of the attempts that have not ended, kept ones included
+        self._kept_zones = ZoneCounts()  # of the kept ones among them
+        self._ended_with_launch_in_flight: dict[str, set[Attempt]] = {}  # by job
         self.quota: QuotaPolicy | None = None  # None: quotas are disabled
 
     # Attempts.
@@ -69,6 +73,7 @@
         worker.attempts[attempt.name] = attempt
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, 1)
+            self._live_zones.add(attempt, worker.zone)
         self.attempts_by_job.setdefault(attempt.job_id, set()).add(attempt)
         if self.quota is not None:
             self.quota.attempt_added(attempt)
@@ -87,6 +92,23 @@
         self.workers_to_command.add(worker.name)
         return attempt
 
+    def drop_withheld_gang(self, partition: JobPartition) -> list[int]:
+        """Drop the attempts of a gang that are withheld, none of which has been sent; returns the indices of the tasks.
+
+        Those that were lost with their workers have been queued again already.
+        """
+        withheld, partition.withheld_gang = partition.withheld_gang, []
+        dropped = []
+        for attempt in withheld:
+            worker = self.workers.get(attempt.worker)
+            if worker is None or worker.attempts.get(attempt.name) is not attempt:
+                continue
+            self.detach(worker, attempt.name)
+            if partition.attempts.get(attempt.index) is attempt:
+                del partition.attempts[attempt.index]
+                dropped.append(attempt.index)
+        return dropped
+
     def detach(self, worker: Worker, name: str) -> None:
         """Remove the attempt of a task, if any, from a worker that certainly no longer has it."""
         attempt = worker.attempts.pop(name, None)
@@ -99,6 +121,8 @@
     def _remove_attempt(self, attempt: Attempt) -> None:
         if self.quota is not None:
             self.quota.attempt_removed(attempt)
+        self._live_zones.remove(attempt)
+        self._forget_launch_in_flight(attempt)
         attempts = self.attempts_by_job.get(attempt.job_id)
         if attempts is not None:
             attempts.discard(attempt)
@@ -130,11 +154,13 @@
         del worker.attempts[attempt.name]
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, -1)
+            self._kept_zones.add(attempt, worker.zone)
         self.kept_attempts[attempt] = worker
 
     def release_attempt(self, attempt: Attempt) -> None:
         """Release a kept attempt, which is certain to be on no machine or to be replaced, and requeue its task."""
         del self.kept_attempts[attempt]
+        self._kept_zones.remove(attempt)
         self.requeue(None, attempt)
         self._remove_attempt(attempt)
 
@@ -147,9 +173,25 @@
         if not attempt.end_cause and worker is not None and worker.attempts.get(attempt.name) is attempt:
             worker.add_usage(attempt.spec, -1)
         attempt.end_cause = cause
+        self._live_zones.remove(attempt)
+        self._kept_zones.remove(attempt)
+        if attempt in self.attempts_by_job.get(attempt.job_id, ()) and self._launch_in_flight(attempt):
+            self._ended_with_launch_in_flight.setdefault(attempt.job_id, set()).add(attempt)
         if self.quota is not None:
             self.quota.attempt_ended(worker, attempt)
 
+    def _launch_in_flight(self, attempt: Attempt) -> bool:
+        """Whether a launch of an attempt may still arrive at its worker."""
+        worker = self.worker_of(attempt)
+        return worker is not None and not self.launch_cannot_arrive(worker, attempt)
+
+    def _forget_launch_in_flight(self, attempt: Attempt) -> None:
+        attempts = self._ended_with_launch_in_flight.get(attempt.job_id)
+        if attempts is not None:
+            attempts.discard(attempt)
+            if not attempts:
+                del self._ended_with_launch_in_flight[attempt.job_id]
+
     def launch_cannot_arrive(self, worker: Worker, attempt: Attempt) -> bool:
         """Whether no launch of the attempt can still arrive."""
         if "settled" not in self.guards:
@@ -158,12 +200,31 @@
             return False
         return not attempt.unanswered_call_token or worker.fencing_token > attempt.unanswered_call_token
 
-    def possibly_running(self, job_id: str) -> Iterator[tuple[Worker, Attempt]]:
-        """Yield the attempts of a job that may be running or may still start, with their workers."""
-        for attempt in self.attempts_by_job.get(job_id, ()):
+    def possibly_running_by_zone(self, job_id: str, count_kept: bool = True) -> dict[str, int]:
+        """Return how many attempts of a job may be running or may still start, by zone; zones without any are left out.
+
+        `count_kept=False` leaves out kept attempts. Costs no more for a job of many attempts than for one of few.
+        """
+        counts = dict(self._live_zones.of_job(job_id))
+        if not count_kept:
+            for zone, kept in self._kept_zones.of_job(job_id).items():
+                counts[zone] -= kept
+        for attempt in list(self._ended_with_launch_in_flight.get(job_id, ())):
             worker = self.worker_of(attempt)
-            if worker is not None and (not attempt.end_cause or not self.launch_cannot_arrive(worker, attempt)):
-                yield worker, attempt
+            if worker is None or self.launch_cannot_arrive(worker, attempt):
+                self._forget_launch_in_flight(attempt)
+            elif count_kept or attempt not in self.kept_attempts:
+                counts[worker.zone] = counts.get(worker.zone, 0) + 1
+        return {zone: count for zone, count in counts.items() if count}
+
+    def set_zone(self, worker: Worker, zone: str) -> None:
+        """Set the zone of a worker, as its heartbeat says."""
+        if worker.zone == zone:
+            return
+        worker.zone = zone
+        kept = [attempt for attempt, former in self.kept_attempts.items() if former is worker]
+        self._live_zones.worker_moved(worker, [*worker.attempts.values(), *kept])
+        self._kept_zones.worker_moved(worker, kept)
 
     def stop(self, attempt: Attempt, grace_s: float) -> None:
         """Stop an attempt, with `grace_s` seconds to save its progress; a shorter period replaces a longer one."""
@@ -192,6 +253,13 @@
             self.needs_placement = True
         self._enqueue(partition)
 
+    def return_to_queue(self, partition: JobPartition, indices: Iterable[int]) -> None:
+        """Queue tasks again for which placement has found no room; this gives no reason for another pass."""
+        for index in indices:
+            if self._may_wait(partition, index):
+                partition.pending.push(index)
+        self._enqueue(partition)
+
     def _may_wait(self, partition: JobPartition, index: int) -> bool:
         """Whether a task of the partition is neither done, nor possibly on a machine, nor in another shard."""
         return (
--- a/quinceslip/coordination/shard_state/worker.py
+++ b/quinceslip/coordination/shard_state/worker.py
@@ -36,6 +36,7 @@
     answered_by_other_machine: bool = False  # another machine at its address carried out its launch
     given_up_us: int = 0  # when the last such call was given up, or answered by another machine
     sent: bool = False  # its launch or stop has been sent
+    withheld: bool = False  # not to be sent before all tasks of its gang have a machine
     counted_usage: tuple[int, int, int, int] | None = None  # its usage as counted by the quotas
     counted_as_stopping: bool = False  # counted as stopping by the quotas
     name: str = ""  # JOB/INDEX, as on the wire
@@ -136,6 +137,10 @@
         """Return the CPUs that are free or used by tasks that a service may preempt."""
         return self.type.cpus - self.production_cpus if self.type is not None else 0.0
 
+    def has_room_for(self, spec: m.JobSpec) -> bool:
+        """Whether one task of the job fits beside the attempts that have not ended."""
+        return fits(self.free(), spec)
+
     def free(self) -> Resources:
         """Return the resources that no attempt takes; nothing if the machine type is unknown."""
         if self.type is None:
