--- a/quinceslip/coordination/reconciliation/attempt_outcomes.py
+++ b/quinceslip/coordination/reconciliation/attempt_outcomes.py
@@ -41,6 +41,7 @@
         if status.state not in (m.PULLING, m.EXITED):
             if not attempt.running_since_us:
                 attempt.running_since_us = self.ctx.now_us
+                worker.attempts_changed()
             self.on_started(worker, attempt)
             if attempt.spec.service:
                 self._clear_suspicion_of_service(attempt)
--- a/quinceslip/coordination/reconciliation/attempts.py
+++ b/quinceslip/coordination/reconciliation/attempts.py
@@ -27,7 +27,9 @@
                 attempt = self._resolve_mismatch(worker, attempt, name, status)
                 if attempt is None:
                     continue
-            attempt.observed = True
+            if not attempt.observed:
+                attempt.observed = True
+                worker.attempts_changed()
             self.outcomes.update(worker, attempt, status)
         self._detach_vanished(worker)
         if self.state.quota is not None:
--- a/quinceslip/coordination/scheduling/machine_room.py
+++ b/quinceslip/coordination/scheduling/machine_room.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from quinceslip.coordination.shard_state.amounts import Resources
 from quinceslip.coordination.shard_state.worker import Worker, fits
 from quinceslip.protocol import messages as m
 
@@ -28,6 +29,12 @@
         self.gpus += spec.gpus
         self.memory_gb += spec.memory_gb
 
+    def add_amounts(self, amounts: Resources) -> None:
+        """Add these amounts."""
+        self.cpus += amounts[0]
+        self.gpus += amounts[1]
+        self.memory_gb += amounts[2]
+
     def has_room_for(self, spec: m.JobSpec) -> bool:
         """Whether one such task fits."""
         return fits((self.cpus, self.gpus, self.memory_gb), spec)
--- a/quinceslip/coordination/scheduling/work_budget.py
+++ b/quinceslip/coordination/scheduling/work_budget.py
@@ -1,9 +1,11 @@
 """Bounds the work of one turn of the actor, so that a long placement pass goes on in later turns."""
 
 #: steps of one turn: a fraction of a second even on a slow machine
-MAX_STEPS_PER_TURN = 40_000
+MAX_STEPS_PER_TURN = 20_000
 #: steps of the launch of one task, compared with those of a look at one machine or attempt
 STEPS_PER_LAUNCH = 8
+#: the same of one plan of what to preempt on a machine
+STEPS_PER_PLAN = 8
 
 
 class WorkBudget:
--- a/quinceslip/coordination/shard_state/policies.py
+++ b/quinceslip/coordination/shard_state/policies.py
@@ -9,7 +9,10 @@
 
 
 class PreemptionPolicy(Protocol):
-    """Decides which attempts may be preempted for a task; victims are chosen one at a time."""
+    """Decides which attempts may be preempted for a task; victims are chosen one at a time.
+
+    The team and the priority of an attempt decide. An answer of no stays no as more victims are chosen and stopped.
+    """
 
     def may_preempt(self, victim: Attempt) -> bool:
         """Whether this attempt may be preempted in addition to those chosen so far."""
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -71,6 +71,8 @@
         """Add an attempt that may be on the worker, in place of any earlier attempt of the task there."""
         self.detach(worker, attempt.name)
         worker.attempts[attempt.name] = attempt
+        if attempt.observed:
+            worker.attempts_changed()
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, 1)
             self._live_zones.add(attempt, worker.zone)
@@ -114,6 +116,7 @@
         attempt = worker.attempts.pop(name, None)
         if attempt is None:
             return
+        worker.attempts_changed()
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, -1)
         self._remove_attempt(attempt)
@@ -152,6 +155,7 @@
         It is removed from the worker, but stays the current attempt of its task.
         """
         del worker.attempts[attempt.name]
+        worker.attempts_changed()
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, -1)
             self._kept_zones.add(attempt, worker.zone)
@@ -173,6 +177,8 @@
         if not attempt.end_cause and worker is not None and worker.attempts.get(attempt.name) is attempt:
             worker.add_usage(attempt.spec, -1)
         attempt.end_cause = cause
+        if worker is not None:
+            worker.attempts_changed()
         self._live_zones.remove(attempt)
         self._kept_zones.remove(attempt)
         if attempt in self.attempts_by_job.get(attempt.job_id, ()) and self._launch_in_flight(attempt):
@@ -231,6 +237,9 @@
         if not attempt.stopping or grace_s < attempt.grace_s:
             attempt.stopping, attempt.grace_s, attempt.sent = True, grace_s, False
             self.workers_to_command.add(attempt.worker)
+            worker = self.worker_of(attempt)
+            if worker is not None:
+                worker.attempt_stopped(attempt)
             if self.quota is not None:
                 self.quota.attempt_stopping(attempt)
 
--- a/quinceslip/coordination/shard_state/worker.py
+++ b/quinceslip/coordination/shard_state/worker.py
@@ -2,17 +2,14 @@
 
 from dataclasses import dataclass, field
 
+from quinceslip.coordination.shard_state.amounts import NO_RESOURCES, Resources
 from quinceslip.coordination.shard_state.delivery import DeliveryTracker
+from quinceslip.coordination.shard_state.preemptible_work import PreemptibleWork
 from quinceslip.protocol import messages as m
 
 #: tolerance for rounding errors in resource amounts
 EPSILON = 1e-6
 
-#: amounts of CPUs, GPUs and memory in GB
-Resources = tuple[float, float, float]
-
-NO_RESOURCES: Resources = (0.0, 0.0, 0.0)
-
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -111,6 +108,9 @@
     service_cpus: float = 0.0
     service_tasks: int = 0
 
+    # Derived from the attempts; None: to be computed on the next use. Dropped by the shard state and the reconciler.
+    _preemptible_work: PreemptibleWork | None = field(default=None, init=False, repr=False)
+
     def add_usage(self, spec: m.JobSpec, sign: int) -> None:
         """Add the usage of an attempt (`sign` = 1), or remove it when the attempt ends (`sign` = -1)."""
         self.live_attempt_count += sign
@@ -133,6 +133,21 @@
         """Return the attempts that have not ended."""
         return [attempt for attempt in self.attempts.values() if not attempt.end_cause]
 
+    def preemptible_work(self) -> PreemptibleWork:
+        """Return what may be stopped here for other tasks, kept until `attempts_changed` is called."""
+        if self._preemptible_work is None:
+            self._preemptible_work = PreemptibleWork(self.live_attempts())
+        return self._preemptible_work
+
+    def attempts_changed(self) -> None:
+        """Note that an observed attempt was added, has ended, has begun to run or was removed."""
+        self._preemptible_work = None
+
+    def attempt_stopped(self, attempt: Attempt) -> None:
+        """Note that an attempt on this machine is stopping, or that its grace period has become shorter."""
+        if self._preemptible_work is not None and self.attempts.get(attempt.name) is attempt:
+            self._preemptible_work.attempt_stopped(attempt)
+
     def service_room(self) -> float:
         """Return the CPUs that are free or used by tasks that a service may preempt."""
         return self.type.cpus - self.production_cpus if self.type is not None else 0.0
--- a/quinceslip/quota/harness.py
+++ b/quinceslip/quota/harness.py
@@ -115,6 +115,7 @@
                 elif attempt not in before:
                     started += 1
                     attempt.observed, attempt.running_since_us = True, self.ctx.now_us
+                    worker.attempts_changed()
         return PassResult(started, stopped)
 
     def finish(self, attempt: Attempt) -> None:
--- a/quinceslip/quota/preemption.py
+++ b/quinceslip/quota/preemption.py
@@ -4,12 +4,13 @@
 candidates until a job has room.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from quinceslip.coordination.shard_state.worker import EPSILON, Attempt, Worker, fits
 from quinceslip.protocol import messages as m
 from quinceslip.quota.amounts import ZERO, Amounts, accumulate, positive_part, subtract, within
+from quinceslip.quota.preemption_candidates import PreemptionCandidates, VictimGroup, can_be_stopped, group_of
 from quinceslip.quota.usage import UsageMeter
 
 #: the lowest priority class (of urgent and production) that may preempt lower ones without a guarantee
@@ -126,7 +127,7 @@
     def __init__(
         self,
         policy: GuaranteeAwarePreemption,
-        candidates: Sequence[Attempt],
+        candidates: PreemptionCandidates,
         request: RoomRequest,
         shortfall: dict[int, Amounts],
     ) -> None:
@@ -138,16 +139,17 @@
         self.shortfall = dict(shortfall)
         self.machine_free = request.machine.free() if request.machine is not None else (0.0, 0.0, 0.0)
         self.chosen: list[Attempt] = []
+        self._refused: set[VictimGroup] = set()  # groups that may not be preempted beside the victims chosen so far
 
     def find_room(self, partial_allowed: bool) -> bool:
         """Choose victims until no level lacks anything and the machine has room; returns whether that succeeded.
 
         `partial_allowed`: some quota is enough, since other shards may have the rest.
         """
-        for victim in self.candidates:
+        for victim in self._candidates_in_order():
             if not self.shortfall and self._machine_has_room():
                 break
-            if self._would_help(victim) and self.policy.may_preempt(victim):
+            if self._may_preempt(victim):
                 self._choose(victim)
         if self.shortfall and not (partial_allowed and self.chosen):
             return False
@@ -156,13 +158,28 @@
     def _machine_has_room(self) -> bool:
         return self.request.machine is None or fits(self.machine_free, self.request.spec)
 
-    def _would_help(self, victim: Attempt) -> bool:
-        if not _can_be_stopped(victim):
-            return False
+    def _candidates_in_order(self) -> Iterator[Attempt]:
+        """Return the attempts that would help, on the machine of the request if it names one."""
         machine = self.request.machine
-        if machine is not None:
-            return victim.worker == machine.name
-        return any(level in self.shortfall for level in self.tree.path(victim.spec.team))
+        if machine is None:
+            return self.candidates.in_order(self._would_help)
+        return (victim for victim in machine.preemptible_work().victims() if can_be_stopped(victim))
+
+    def _would_help(self, group: VictimGroup) -> bool:
+        """Whether a victim of the group may be chosen and would reduce the shortfall."""
+        if group in self._refused:
+            return False
+        return any(level in self.shortfall for level in self.tree.path(group.team))
+
+    def _may_preempt(self, victim: Attempt) -> bool:
+        """Whether the policy lets the victim be chosen; it is asked once for a group that it refuses."""
+        group = group_of(victim)
+        if group in self._refused:
+            return False
+        if self.policy.may_preempt(victim):
+            return True
+        self._refused.add(group)
+        return False
 
     def _choose(self, victim: Attempt) -> None:
         self.policy.choose(victim)
@@ -185,12 +202,12 @@
         """Choose further victims until the machines have room for the gang; returns whether that succeeded."""
         quota_victim_count = len(self.chosen)
         already_chosen = set(self.chosen)
-        for victim in self.candidates:
+        for victim in self.candidates.in_order(lambda group: group not in self._refused):
             if gang_capacity.count >= self.request.count:
                 break
-            if victim in already_chosen or victim.worker not in gang_capacity.free or not _can_be_stopped(victim):
+            if victim in already_chosen or victim.worker not in gang_capacity.free:
                 continue
-            if self.policy.may_preempt(victim):
+            if self._may_preempt(victim):
                 self.policy.choose(victim)
                 gang_capacity.add_freed(victim)
                 self.chosen.append(victim)
@@ -201,18 +218,10 @@
 
     def _drop_unneeded_victims(self, gang_capacity: GangCapacity, first: int) -> None:
         """Drop each victim from index `first` on without which the gang still has room."""
+        needed = self.chosen[:first]
         for victim in self.chosen[first:]:
             gang_capacity.remove_freed(victim)
             if gang_capacity.count < self.request.count:
                 gang_capacity.add_freed(victim)
-            else:
-                self.chosen.remove(victim)
-
-
-def _can_be_stopped(attempt: Attempt) -> bool:
-    return attempt.counted_usage is not None and not attempt.stopping and not attempt.end_cause
-
-
-def preemption_order(attempt: Attempt) -> tuple[int, bool, int, str]:
-    """Sort key of victims: lowest priority first, then jobs that save checkpoints, then the latest started."""
-    return (-attempt.spec.priority, attempt.spec.checkpoint_interval_s == 0, -attempt.running_since_us, attempt.name)
+                needed.append(victim)
+        self.chosen = needed
--- a/quinceslip/quota/shard_quota.py
+++ b/quinceslip/quota/shard_quota.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Iterable, Sequence
+from itertools import chain
 
 from quinceslip.coordination.actor.timing import SECOND
 from quinceslip.coordination.shard_state.partition import JobPartition
@@ -32,8 +33,8 @@
     GuaranteeAwarePreemption,
     RoomRequest,
     VictimSearch,
-    preemption_order,
 )
+from quinceslip.quota.preemption_candidates import PreemptionCandidates
 from quinceslip.quota.quota_records import DemandOrder
 from quinceslip.quota.tree import Tree
 from quinceslip.quota.unmet_demand import UnmetDemand
@@ -43,6 +44,9 @@
 
 #: how long room made for a job stays reserved: stopping attempts may have to save a checkpoint first
 RESERVATION_US = 10 * SECOND
+#: how many times room is made for one job in a pass, each time for the tasks that start together; the rest of the job
+#: gets room once these have started
+MAX_ROOMS_PER_PASS = 1_000
 
 
 class ShardQuota(QuotaAdmission):
@@ -56,8 +60,8 @@
         self.promised: dict[int, Amounts] = {}
         #: ids of these jobs
         self.jobs_promised_room: set[str] = set()
-        #: the attempts that may be preempted in this pass, in order; None: not computed yet
-        self._candidates: list[Attempt] | None = None
+        #: the attempts that may be preempted in this pass; None: not computed yet
+        self._candidates: PreemptionCandidates | None = None
 
     # A placement pass.
 
@@ -189,7 +193,7 @@
             if partition.attempts or any(released):
                 return False
             return self.make_room(RoomRequest(spec, count, gang_capacity=GangCapacity(spec, list(workers))))
-        repeats = len(partition.pending) // count
+        repeats = min(len(partition.pending) // count, MAX_ROOMS_PER_PASS)
         if placeable and (spec.gang or not any(released)):
             return self.make_room(RoomRequest(spec, count), repeats)
         # No machine has room either: the victims must also leave room for a task on one machine.
@@ -249,12 +253,9 @@
             self.state.stop(victim, 0.0)
         return search.chosen
 
-    def _preemption_candidates(self) -> list[Attempt]:
+    def _preemption_candidates(self) -> PreemptionCandidates:
         if self._candidates is None:
-            observed = (
-                attempt for attempts in self.attempts_by_team.values() for attempt in attempts if attempt.observed
-            )
-            self._candidates = sorted(observed, key=preemption_order)
+            self._candidates = PreemptionCandidates(chain.from_iterable(self.attempts_by_team.values()))
         return self._candidates
 
     # Reservations.
@@ -266,7 +267,7 @@
         waits_here = request.shortfall is None
         reservation = self.reservations.setdefault(spec.job_id, Reservation(spec.team, ZERO, 0, waits_here))
         reservation.room = room if partial else add(reservation.room, room)
-        reservation.stopping = [*reservation.stopping, *stopped]
+        reservation.stopping += stopped
         reservation.released = ZERO
         reservation.until_us = self.state.ctx.now_us + RESERVATION_US
 
--- a/tests/turn_work.py
+++ b/tests/turn_work.py
@@ -1,7 +1,7 @@
 """Counts the function calls that the actors of a scenario make in each turn, and fails once one turn makes too many."""
 
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -38,6 +38,19 @@
             raise TurnTooLongError
 
 
+def count_calls(function: Callable[[], object], max_calls: int = MAX_CALLS_PER_TURN) -> int:
+    """Return how many calls a function makes; fails the test at the first one above the limit."""
+    counter = CallCounter(max_calls)
+    sys.setprofile(counter.count)
+    try:
+        function()
+    except TurnTooLongError:
+        pytest.fail(f"more than {max_calls} calls")
+    finally:
+        sys.setprofile(None)
+    return counter.calls
+
+
 @contextmanager
 def counted_turns(monkeypatch: pytest.MonkeyPatch, max_calls: int = MAX_CALLS_PER_TURN) -> Iterator[CallCounter]:
     """Count the calls of every turn of every controller; the test fails at the first turn above the limit."""
