Answers, results and orders of jobs with many tasks: bounded work in a turn

Each answer about a job counted its running tasks and decoded its results again, in one turn for all users behind one read barrier; all results were encoded in one turn; late jobs were sorted into the deadline order and out again; a replica without a place searched all machines again. Change: counted once for answers at the same time, sizes of decoded sets kept, results encoded up to a bound a turn, late jobs left out at once, one search for each service. Evidence: three tests in test_turn_work fail on the code before (over 400,000 calls; 100 sets decoded; 1.6 million tasks encoded in one turn); they pass now. The deadline order and the consolidation have no test of their own size.

--- a/quinceslip/coordination/autoscaling/consolidation.py
+++ b/quinceslip/coordination/autoscaling/consolidation.py
@@ -111,13 +111,16 @@
         free = {other.name: Resources(*other.free()) for other in workers if other.zone == worker.zone}
         targets = MoveTargets(workers, free, may_fetch)
         moved = 0
+        without_target: set[str] = set()  # services of which no replica can be placed elsewhere
         for attempt in worker.live_attempts():
             if moved >= max_moves:
                 break
-            if not self._is_movable(attempt):
+            if attempt.job_id in without_target or not self._is_movable(attempt):
                 continue
             target = _find_target(shard, attempt.spec, targets)
-            if target is not None:
+            if target is None:
+                without_target.add(attempt.job_id)
+            else:
                 free[target.name] = free[target.name].without(attempt.spec)
                 shard.stop(attempt, 0.0)
                 moved += 1
--- a/quinceslip/coordination/controller/job_status.py
+++ b/quinceslip/coordination/controller/job_status.py
@@ -2,6 +2,7 @@
 
 from quinceslip.coordination.actor.context import Context
 from quinceslip.coordination.shard.shard import Shard
+from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.protocol import messages as m
 from quinceslip.storage import records
 
@@ -12,6 +13,8 @@
     def __init__(self, ctx: Context, shards: dict[int, Shard]) -> None:
         self.ctx = ctx
         self.shards = shards
+        self._running: dict[str, int] = {}  # running tasks by job, as counted at `_counted_us`
+        self._counted_us = -1
 
     def is_final(self, job_id: str, job: records.JobRecord) -> bool:
         """Whether a job's state is final, by its own record or because a job that it depends on was cancelled."""
@@ -24,8 +27,18 @@
         if self.ctx.graph.is_cancelled(job_id):
             return m.job_answer(job_id, m.CANCELLED, 0, 0)
         partitions = [shard.partitions[job_id] for shard in self.shards.values() if job_id in shard.partitions]
-        running = sum(attempt.state == m.RUNNING for p in partitions for attempt in p.attempts.values())
+        running = self._count_running(job_id, partitions)
         state = m.RUNNING if running else m.QUEUED
         done = self.ctx.cache.done_count(job_id)
         reason = next((p.crash_loop.reason() for p in partitions if p.crash_loop.suspected), None)
         return m.job_answer(job_id, state, done, running, reason)
+
+    def _count_running(self, job_id: str, partitions: list[JobPartition]) -> int:
+        """Return how many tasks of a job run here; counted once for all users who get an answer at the same time."""
+        if self._counted_us != self.ctx.now_us:
+            self._running, self._counted_us = {}, self.ctx.now_us
+        if job_id not in self._running:
+            self._running[job_id] = sum(
+                attempt.state == m.RUNNING for partition in partitions for attempt in partition.attempts.values()
+            )
+        return self._running[job_id]
--- a/quinceslip/coordination/jobs/result_writer.py
+++ b/quinceslip/coordination/jobs/result_writer.py
@@ -18,6 +18,8 @@
 COMPLETION_CHECK_US = SECOND
 #: fraction of this controller's write budget that such results may use
 RESULT_WRITE_FRACTION = 0.25
+#: numbers of tasks in the sets that are encoded in one turn of the actor; the other partitions follow in the next turn
+MAX_ENCODED_TASKS_PER_TURN = 3 * m.MAX_TASKS
 
 
 class ResultWriter:
@@ -34,6 +36,7 @@
         self.completion = completion
         #: jobs whose partitions may have something to record
         self.dirty_jobs: set[str] = set()
+        self._encoded_tasks = 0  # in this turn
         self.writes_per_s = RESULT_WRITE_FRACTION * self.ctx.limits.write_rps / self.ctx.settings.facts.size
 
     def mark_dirty(self, job_id: str) -> None:
@@ -48,7 +51,10 @@
         """Record the results of dirty partitions that are due."""
         partitions = self._dirty_partitions()
         pause_us = self._result_pause_us(partitions)
+        self._encoded_tasks = 0
         for partition in partitions:
+            if self._encoded_tasks >= MAX_ENCODED_TASKS_PER_TURN:
+                return
             if not partition.writing and self.ctx.now_us >= partition.next_write_us:
                 self._write_if_due(partition, pause_us)
 
@@ -97,6 +103,7 @@
 
     def _record(self, partition: JobPartition, job: JobRecord, done: set[int]) -> JobRecord | PartitionRecord:
         """Return the record that contains the partition, with these tasks done: at the home shard that of the job."""
+        self._encoded_tasks += len(partition.assigned) + len(done)
         record = PartitionRecord(task_sets.encode(partition.assigned), task_sets.encode(done), sorted(partition.zones))
         return msgspec.structs.replace(job, partition=record) if job.shard == self.state.index else record
 
--- a/quinceslip/coordination/scheduling/deadline_order.py
+++ b/quinceslip/coordination/scheduling/deadline_order.py
@@ -52,10 +52,13 @@
         """Add the partitions in the order of their due times."""
         past_last_level = all(self.level >= len(partition.due_us) for partition in partitions)
         for partition in sorted(partitions, key=self._sort_key):
+            due_us = None if past_last_level else _due_us(partition, self.level)
+            if due_us is not None and self.wall_us + _certain_run_us(partition) > due_us:
+                self.deferred.append(partition)  # late even if it starts now
+                continue
             self._select(partition)
-            due_us = _due_us(partition, self.level)
-            if due_us is not None and not past_last_level:
-                self._defer_if_late(partition, due_us)
+            if due_us is not None:
+                self._defer_largest_if_late(partition, due_us)
 
     def on_time(self) -> list[JobPartition]:
         """Return the partitions that are not deferred."""
@@ -72,22 +75,19 @@
         heapq.heappush(self._selected, (-size, partition.job_id, partition))
         self.cpus_ahead += size
 
-    def _defer_if_late(self, partition: JobPartition, due_us: int) -> None:
-        """If the partition would be late, defer it, or the largest so far if that lets it be on time."""
-        run_us = micros(CERTAIN_RUN_FRACTION * partition.spec.estimated_run_s)
+    def _defer_largest_if_late(self, partition: JobPartition, due_us: int) -> None:
+        """If the partition would be late behind the others, defer the largest so far, which lets it be on time."""
         wait_us = micros(self.cpus_ahead / self.cpus_per_s)
-        if self.wall_us + run_us > due_us:
-            # Late even if it starts now.
-            entry = (-_size_cpus(partition), partition.job_id, partition)
-            self._selected.remove(entry)
-            heapq.heapify(self._selected)
-        elif self.wall_us + wait_us + run_us > due_us:
-            entry = heapq.heappop(self._selected)
-        else:
+        if self.wall_us + wait_us + _certain_run_us(partition) <= due_us:
             return
-        negative_size, _, late = entry
+        negative_size, _, largest = heapq.heappop(self._selected)
         self.cpus_ahead += negative_size
-        self.deferred.append(late)
+        self.deferred.append(largest)
+
+
+def _certain_run_us(partition: JobPartition) -> int:
+    """Return how long a task of the partition runs at least."""
+    return micros(CERTAIN_RUN_FRACTION * partition.spec.estimated_run_s)
 
 
 def _size_cpus(partition: JobPartition) -> float:
--- a/quinceslip/storage/cache.py
+++ b/quinceslip/storage/cache.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Mapping
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -22,6 +23,8 @@
 
 #: maximum remembered deletions; they keep late events with older changes from restoring deleted keys
 MAX_REMEMBERED_DELETIONS = 32_000
+#: sizes of encoded task sets that are kept, as many users may ask about one job; a set takes up to 16 KB
+MAX_CACHED_TASK_COUNTS = 64
 
 # Plain strings, since they are cheaper than enum members in code that runs for each record.
 _JOB, _SHARD, _PARTITION = RecordKind.JOB.value, RecordKind.SHARD.value, RecordKind.PARTITION.value
@@ -243,12 +246,13 @@
 
     def done_count(self, job_id: str) -> int:
         """Return the number of tasks of a job that are recorded as done in any of its partitions."""
-        return sum(map(_count_done, self.partitions(job_id).values()))
+        return sum(_count_tasks(partition.done) for partition in self.partitions(job_id).values())
 
 
-def _count_done(partition: PartitionRecord) -> int:
-    """Return the number of tasks that a partition lists as done; 0 if its list can't be read."""
+@lru_cache(maxsize=MAX_CACHED_TASK_COUNTS)
+def _count_tasks(encoded: str) -> int:
+    """Return the number of tasks in an encoded set; 0 if it can't be read."""
     try:
-        return len(task_sets.decode(partition.done))
+        return len(task_sets.decode(encoded))
     except ValueError:
         return 0
--- a/tests/test_turn_work.py
+++ b/tests/test_turn_work.py
@@ -1,10 +1,16 @@
 """Jobs of many tasks: no turn of the actor is long, counted in function calls, and the jobs run all the same."""
 
+import msgspec
 import pytest
 
 from quinceslip.coordination.controller.controller import Controller
+from quinceslip.coordination.jobs.result_writer import MAX_ENCODED_TASKS_PER_TURN, ResultWriter
 from quinceslip.coordination.scheduling import placement
+from quinceslip.protocol import messages as m
+from quinceslip.storage import records, task_sets
+from quinceslip.storage.cache import StoreCache
 from tests.scenario.runner import Runner, run_scenario
+from tests.simulation.inputs import job_spec
 from tests.turn_work import counted_turns, run_lines
 
 #: machines of 64 CPUs, as the largest type of a site has them
@@ -92,3 +98,65 @@
     runner.execute_line("run 3.9")
     assert shard.workers and all(not worker.live_attempt_count for worker in shard.workers.values())
     assert started_tasks(runner, "req-000001") == 0
+
+
+def test_answers_to_many_users_of_one_job_take_a_short_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: each answer after a read barrier counts all tasks of the job again, in one turn for all users.
+    with counted_turns(monkeypatch):
+        runner = run_lines(f"""{FLEET}
+            at 3 submit req-000001 tasks=25000 cpus=0.2 memory=0.4 run=300
+            at 6 poll_many req-000001 600 over=0.01
+            run 8
+        """)
+    assert started_tasks(runner, "req-000001") == PLACES
+    assert runner.slowest_poll_us > 0
+
+
+def test_results_of_many_users_are_decoded_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: each answer about a job decodes its record, with up to 100,000 tasks, again.
+    decoded: list[str] = []
+    decode = task_sets.decode
+
+    def counted_decode(text: str) -> set[int]:
+        decoded.append(text)
+        return decode(text)
+
+    monkeypatch.setattr(task_sets, "decode", counted_decode)
+    store = StoreCache()
+    done = task_sets.encode(set(range(0, m.MAX_TASKS, 3)))
+    spec = msgspec.convert(job_spec("req-7", picks=m.MAX_TASKS), m.JobSpec)
+    job = records.JobRecord(m.QUEUED, m.MAX_TASKS, spec, partition=records.PartitionRecord("0-99999", done))
+    store.store(records.job_key("req-7"), job, 1)
+    assert {store.done_count("req-7") for _ in range(100)} == {33_334}
+    assert len(decoded) <= 1
+
+
+def test_results_of_many_large_jobs_are_encoded_in_several_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: the records of all jobs with results are encoded in one turn, however many tasks they have.
+    encoded_in_turn: list[int] = []
+    encode, write_due = task_sets.encode, ResultWriter.write_due
+
+    def counted_encode(numbers: set[int]) -> str:
+        if encoded_in_turn:
+            encoded_in_turn[-1] += len(numbers)
+        return encode(numbers)
+
+    def counted_write_due(writer: ResultWriter) -> None:
+        encoded_in_turn.append(0)
+        write_due(writer)
+        encoded_in_turn.append(0)  # of what else is encoded until the next turn
+
+    monkeypatch.setattr(task_sets, "encode", counted_encode)
+    monkeypatch.setattr(ResultWriter, "write_due", counted_write_due)
+    runner = run_lines("site size=1\nno_cloud_capacity\nat 2 submit_many 1 12 tasks=100000 run=2\nrun 8")
+    (shard,) = [shard for controller in controllers(runner) for shard in controller.shards.values()]
+    assert len(shard.partitions) == 12
+    for partition in shard.partitions.values():
+        for index in range(0, m.MAX_TASKS, 3):
+            partition.pending.discard(index)
+            partition.unrecorded_done.add(index)
+        shard.persistence.task_completed(partition)
+    runner.execute_line("run 20")
+    assert all(len(partition.done) == 33_334 for partition in shard.partitions.values())
+    one_record = 2 * m.MAX_TASKS
+    assert max(encoded_in_turn[0::2]) <= MAX_ENCODED_TASKS_PER_TURN + one_record
