--- a/quinceslip/coordination/autoscaling/consolidation.py
+++ b/quinceslip/coordination/autoscaling/consolidation.py
@@ -13,7 +13,7 @@
 from quinceslip.coordination.autoscaling.resources import Resources
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.coordination.shard.shard import Shard
-from quinceslip.coordination.shard_state.worker import Attempt, Worker, fits
+from quinceslip.coordination.shard_state.worker import Attempt, Worker
 from quinceslip.protocol import messages as m
 
 log = logging.getLogger(__name__)
@@ -108,7 +108,7 @@
         """Stop up to `max_moves` replicas that can be placed elsewhere, and return how many were stopped."""
         # If few services keep a large machine, an image fetch is worthwhile unless it slows the start too much.
         may_fetch = self._wasted_price(worker) > FETCH_WASTE_FACTOR * self._unit_price() * worker.service_cpus
-        free = {other.name: Resources(*other.free()) for other in workers if other.zone == worker.zone}
+        free = {other.name: Resources.of_worker(other) for other in workers if other.zone == worker.zone}
         targets = MoveTargets(workers, free, may_fetch)
         moved = 0
         without_target: set[str] = set()  # services of which no replica can be placed elsewhere
@@ -154,7 +154,7 @@
         if (
             free is None
             or not worker.live_attempt_count
-            or not fits(free, spec)
+            or not free.has_room_for(spec)
             or not shard.placement.satisfies_constraints(worker, spec, None)
         ):
             continue
--- a/quinceslip/coordination/autoscaling/machine_choice.py
+++ b/quinceslip/coordination/autoscaling/machine_choice.py
@@ -13,7 +13,6 @@
 from quinceslip.coordination.autoscaling.unmet_demand import MIN_TASK_CPUS
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.coordination.shard_state.partition import JobPartition
-from quinceslip.coordination.shard_state.worker import fits
 from quinceslip.protocol import messages as m
 
 #: headroom on quick machines may cost up to this many times as much as on the cheapest ones
@@ -107,7 +106,7 @@
     def _is_suitable(self, machine_type: m.MachineType, demand: MachineDemand) -> bool:
         spec = demand.partition.spec
         return (
-            fits(Resources.of_type(machine_type), spec)
+            Resources.of_type(machine_type).has_room_for(spec)
             and (spec.types is None or machine_type.label in spec.types)
             and (not demand.is_headroom or self.ctx.starts_quickly(machine_type))
         )
@@ -116,8 +115,8 @@
         spec = demand.partition.spec
         tasks_by_cpus = machine_type.cpus / max(spec.cpus, MIN_TASK_CPUS)
         tasks_by_memory = machine_type.memory_gb / max(spec.memory_gb, MIN_TASK_MEMORY_GB)
-        tasks_per_machine = max(1, int(min(tasks_by_cpus, tasks_by_memory, demand.tasks)))
-        cpus_per_machine = max(tasks_per_machine * spec.cpus, MIN_TASK_CPUS)
+        tasks_per_machine = max(1, int(min(tasks_by_cpus, tasks_by_memory, demand.tasks, m.MAX_PLACED_TASKS)))
+        cpus_per_machine = tasks_per_machine * max(spec.cpus, MIN_TASK_CPUS)
         machines = max(1, math.ceil(demand.cpus / cpus_per_machine - MAX_UNSERVED_FRACTION))
         if not demand.spot or machine_type.spot_price < MIN_PRICE or spec.indivisible:
             return MachineCounts(tasks_per_machine, machines, machines)
@@ -130,7 +129,7 @@
     def _affordable_headroom(self, demand: MachineDemand, options: list[PurchaseOption]) -> list[PurchaseOption]:
         """Filter out costly options: headroom is for a few tasks, so a large machine costs more than it can save."""
         types = self.ctx.machine_types
-        fitting = [t for t in types.values() if fits(Resources.of_type(t), demand.partition.spec)]
+        fitting = [t for t in types.values() if Resources.of_type(t).has_room_for(demand.partition.spec)]
         cheapest = min(t.price * max(1, math.ceil(demand.cpus / max(t.cpus, MIN_TASK_CPUS))) for t in fitting)
         return [
             option
--- a/quinceslip/coordination/autoscaling/scale_in.py
+++ b/quinceslip/coordination/autoscaling/scale_in.py
@@ -20,7 +20,7 @@
 from quinceslip.coordination.leadership.election import LeaderElection
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.coordination.shard_state.delivery import MAX_UNANSWERED_PROBES
-from quinceslip.coordination.shard_state.worker import Worker, fits
+from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.protocol import messages as m
 
 log = logging.getLogger(__name__)
@@ -151,7 +151,7 @@
             partition.spec.gang
             and partition.startable_task_count()
             and not partition.on_hold
-            and fits(worker.free(), partition.spec)
+            and worker.has_room_for(partition.spec)
             and shard.placement.satisfies_constraints(worker, partition.spec, None)
             for partition in shard.queued.values()
         )
--- a/quinceslip/coordination/autoscaling/unmet_demand.py
+++ b/quinceslip/coordination/autoscaling/unmet_demand.py
@@ -10,7 +10,7 @@
 from quinceslip.coordination.autoscaling.scale_out_requests import ScaleOutRequests
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.coordination.shard_state.partition import JobPartition
-from quinceslip.coordination.shard_state.worker import Worker, fits
+from quinceslip.coordination.shard_state.worker import Worker
 from quinceslip.protocol import messages as m
 
 #: a boot that takes longer than this many times the usual time is not relied on: boots take up to 1.5 times as long,
@@ -41,7 +41,7 @@
     def reserve(self, spec: m.JobSpec, waiting: int) -> int:
         """Reserve room for as many of the waiting tasks as fit, and return how many are left."""
         # Bound: the number of waiting tasks, even if a task needs no resources.
-        while waiting and fits(self.free, spec):
+        while waiting and self.free.has_room_for(spec):
             self.free = self.free.without(spec)
             waiting -= 1
         return waiting
@@ -114,7 +114,7 @@
         for machine in incoming:
             if not waiting:
                 break
-            if fits(machine.free, spec) and machine.allows(spec, eligible_zones):
+            if machine.free.has_room_for(spec) and machine.allows(spec, eligible_zones):
                 waiting = machine.reserve(spec, waiting)
         if waiting:
             key = DemandKey(spec.zone or "", spec.spot, spec.service or spec.gang)
--- a/quinceslip/coordination/reconciliation/address_probes.py
+++ b/quinceslip/coordination/reconciliation/address_probes.py
@@ -68,7 +68,8 @@
         own_worker = state.workers.get(heartbeat.worker)
         if own_worker is not None:
             state.tokens.raise_above(own_worker, fencing_token - 1)
-        stops = [m.stop(status.task, status.attempt, 0.0) for status in running]
+        # Those that do not fit into one message follow after the next answer.
+        stops = [m.stop(status.task, status.attempt, 0.0) for status in running[: m.MAX_COMMANDS]]
         commands = m.DirectCommands(fencing_token, heartbeat.epoch, stops)
         check.probing = True
 
--- a/quinceslip/coordination/reconciliation/attempts.py
+++ b/quinceslip/coordination/reconciliation/attempts.py
@@ -21,11 +21,13 @@
 
     def reconcile(self, worker: Worker) -> None:
         """Update the attempts of a worker from the tasks in its last heartbeat."""
+        worker.unmatched_reports = 0
         for name, status in worker.reported_tasks.items():
             attempt = worker.attempts.get(name)
             if attempt is None or attempt.number != status.attempt:
                 attempt = self._resolve_mismatch(worker, attempt, name, status)
                 if attempt is None:
+                    worker.unmatched_reports += 1
                     continue
             if not attempt.observed:
                 attempt.observed = True
@@ -42,6 +44,7 @@
                 self.state.requeue(worker, attempt)
             self.state.detach(worker, name)
         worker.reported_tasks = {}
+        worker.unmatched_reports = 0
         worker.images.clear()
 
     def _resolve_mismatch(
--- a/quinceslip/coordination/reconciliation/direct_commands.py
+++ b/quinceslip/coordination/reconciliation/direct_commands.py
@@ -89,10 +89,14 @@
         return bool(not worker.command_open and not worker.delivery.suspect and worker.endpoint and worker.fenced)
 
     def _send_unsent(self, worker: Worker) -> None:
-        """Send a worker its stops and launches that have not been sent yet."""
+        """Send a worker its stops and launches that have not been sent yet, as many as fit into a message."""
         unsent = [a for a in worker.attempts.values() if not a.sent and not a.end_cause]
         stops = [a for a in unsent if a.stopping and a.observed and a.state != m.FLUSHING]
         launches = [a for a in unsent if not a.stopping and not a.observed and not a.withheld]
+        if len(stops) + len(launches) > m.MAX_COMMANDS:
+            self.state.workers_to_command.add(worker.name)  # the others follow once this call is answered
+        stops = stops[: m.MAX_COMMANDS]
+        launches = launches[: m.MAX_COMMANDS - len(stops)]
         if stops or launches:
             self.send(worker, stops, launches)
 
--- a/quinceslip/coordination/reconciliation/heartbeat_commands.py
+++ b/quinceslip/coordination/reconciliation/heartbeat_commands.py
@@ -44,7 +44,9 @@
             attempts = " ".join(f"{command.task}@{command.attempt}" for command in batch.acknowledgements)
             token = self.state.tokens.current(worker)
             log.debug("attempts acknowledged worker=%s token=%d %s", worker.name, token, attempts)
-        return batch.in_order()
+        commands = batch.in_order()
+        _mark_sent(worker, commands)
+        return commands
 
     def _add_for_attempt(self, batch: CommandBatch, worker: Worker, attempt: Attempt, may_launch: bool) -> None:
         if attempt.observed:
@@ -56,7 +58,6 @@
             self.stop_commands.add_unobserved(batch, worker, attempt, may_launch)
         else:
             batch.launches.append(m.launch(attempt.name, attempt.number))
-            attempt.sent = True
 
     def _add_acknowledgement(self, batch: CommandBatch, worker: Worker, attempt: Attempt) -> None:
         """Acknowledge a recorded result, under a fencing token by which no launch of its attempt arrives afterwards."""
@@ -65,3 +66,11 @@
         self.launch_safety.fence_launches(worker, attempt)
         if self.launch_safety.may_forget(worker, attempt):
             batch.acknowledgements.append(m.acknowledge_result(attempt.name, attempt.number))
+
+
+def _mark_sent(worker: Worker, commands: list[m.Command]) -> None:
+    """Note which launches and stops are being sent, so that no direct call repeats them."""
+    for command in commands:
+        attempt = worker.attempts.get(command.task)
+        if attempt is not None and attempt.number == command.attempt:
+            attempt.sent = True
--- a/quinceslip/coordination/reconciliation/stop_commands.py
+++ b/quinceslip/coordination/reconciliation/stop_commands.py
@@ -43,7 +43,6 @@
         """Repeat the stop of a running attempt, unless it is already saving its progress within its grace period."""
         if attempt.state != m.FLUSHING or attempt.grace_s == 0:
             batch.stops.append(m.stop(attempt.name, attempt.number, attempt.grace_s))
-            attempt.sent = True
 
     def add_unobserved(self, batch: CommandBatch, worker: Worker, attempt: Attempt, may_launch: bool) -> None:
         """Requeue a launch that no heartbeat has shown; if it may still arrive, launch and stop it at the worker."""
--- a/quinceslip/coordination/scheduling/preemption.py
+++ b/quinceslip/coordination/scheduling/preemption.py
@@ -150,10 +150,13 @@
     def _plan(self, worker: Worker) -> PreemptionPlan | None:
         """Return what to stop on that machine; None if stopping all that may be stopped makes too little room."""
         spec = self._partition.spec
+        if worker.listed_tasks() >= m.MAX_LISTED_TASKS:
+            worker.preemption_awaits_slots = True  # until the ends of those that were stopped are acknowledged
+            return None
         work = worker.preemptible_work()
         # Work being preempted for another task may leave more room than that task needs.
         room = MachineRoom.of(worker)
-        room.add_amounts(work.room_being_freed)
+        room.add_amounts(work.room_being_freed, work.slots_being_freed)
         policy = self._policy()
         victims: list[Attempt] = []
         refused: set[_VictimGroup] = set()
--- a/quinceslip/coordination/shard/capacity.py
+++ b/quinceslip/coordination/shard/capacity.py
@@ -45,7 +45,8 @@
     available_service_cpus: dict[str, float]  # by zone: CPUs available to services, free or by preemption
     quick_service_cpus: float = 0.0  # the part of them on machines that fetch a typical service image in time
     batch_cpus: float = 0.0  # CPUs not used by services
-    free_cpus: list[float] = field(default_factory=list)  # of each machine
+    machines: int = 0
+    free_cpus: list[float] = field(default_factory=list)  # of each machine; none if it can get no more tasks
 
 
 class CapacityFigures:
@@ -108,7 +109,8 @@
             if not usable(worker) or worker.type is None:
                 continue
             summary.batch_cpus += max(0.0, worker.type.cpus - worker.service_cpus)
-            summary.free_cpus.append(worker.type.cpus - worker.used_cpus)
+            summary.machines += 1
+            summary.free_cpus.append(worker.type.cpus - worker.used_cpus if worker.free_task_slots() > 0 else 0.0)
             if not worker.spot:
                 available_cpus = max(0.0, worker.service_room())
                 summary.available_service_cpus[worker.zone] = (
@@ -121,7 +123,8 @@
     def queueing_station(self) -> QueueingStation:
         """Number of slots for typical tasks, and the service rate of each."""
         cpus, run_s = self.mean_task()
-        slots = int(self.summary().batch_cpus / max(cpus, MIN_TASK_CPUS))
+        summary = self.summary()
+        slots = min(int(summary.batch_cpus / max(cpus, MIN_TASK_CPUS)), summary.machines * m.MAX_PLACED_TASKS)
         return QueueingStation(slots, 1.0 / max(run_s, MIN_RUN_S))
 
     def free_slots(self) -> int:
--- a/quinceslip/coordination/shard_state/preemptible_work.py
+++ b/quinceslip/coordination/shard_state/preemptible_work.py
@@ -27,6 +27,7 @@
         self._first = 0  # those before this index are stopping
         #: room of attempts that are being stopped at once for other tasks, which may not need all of it
         self.room_being_freed: Resources = NO_RESOURCES
+        self.slots_being_freed = 0  # the number of these attempts
         for attempt in observed:
             if attempt.stopping:
                 self.attempt_stopped(attempt)
@@ -38,6 +39,7 @@
         spec = attempt.spec
         freed = (spec.cpus, spec.gpus, spec.memory_gb)
         self.room_being_freed = add_resources(self.room_being_freed, freed)
+        self.slots_being_freed += 1
 
     def victims(self) -> Iterator["Attempt"]:
         """Yield the attempts that are not stopping, in the order in which they are preempted."""
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -117,6 +117,8 @@
         if attempt is None:
             return
         worker.attempts_changed()
+        if worker.preemption_awaits_slots:
+            worker.preemption_awaits_slots, self.needs_placement = False, True
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, -1)
         self._remove_attempt(attempt)
--- a/quinceslip/coordination/shard_state/worker.py
+++ b/quinceslip/coordination/shard_state/worker.py
@@ -87,6 +87,8 @@
     # Reconciliation: tasks and images on it.
     reported_tasks: dict[str, m.TaskStatus] = field(default_factory=dict)  # last reported statuses, by task name
     attempts: dict[str, Attempt] = field(default_factory=dict)  # by task name; written by the shard state
+    unmatched_reports: int = 0  # number of reported tasks that none of the attempts stands for
+    preemption_awaits_slots: bool = False  # work is not preempted before its heartbeats list fewer tasks
     invalid_task_names: set[str] = field(default_factory=set)  # already logged; written by the adoption of tasks
     images: dict[str, float] = field(default_factory=dict)  # sizes of cached images in GB, least recently used first
     task_failures: int = 0  # failures on it of tasks whose jobs are not in a crash loop
@@ -153,8 +155,16 @@
         return self.type.cpus - self.production_cpus if self.type is not None else 0.0
 
     def has_room_for(self, spec: m.JobSpec) -> bool:
-        """Whether one task of the job fits beside the attempts that have not ended."""
-        return fits(self.free(), spec)
+        """Whether one task of the job fits beside the attempts that have not ended, and its heartbeats can list it."""
+        return self.free_task_slots() > 0 and fits(self.free(), spec)
+
+    def listed_tasks(self) -> int:
+        """Return how many tasks its heartbeats list, those included that it was sent since the last one."""
+        return len(self.attempts) + self.unmatched_reports
+
+    def free_task_slots(self) -> int:
+        """Return how many more tasks it may get without others being stopped for them; negative if it has too many."""
+        return m.MAX_PLACED_TASKS - self.listed_tasks()
 
     def free(self) -> Resources:
         """Return the resources that no attempt takes; nothing if the machine type is unknown."""
--- a/quinceslip/protocol/messages/__init__.py
+++ b/quinceslip/protocol/messages/__init__.py
@@ -68,6 +68,7 @@
     with_dependencies,
     with_priority,
 )
+from quinceslip.protocol.messages.worker_limits import MAX_COMMANDS, MAX_LISTED_TASKS, MAX_PLACED_TASKS
 from quinceslip.protocol.messages.workers import (
     CAUSE_DONE,
     CAUSE_ERROR,
@@ -109,6 +110,9 @@
     "HOST_UNREADABLE",
     "MAX_AMOUNT",
     "MAX_BODY_BYTES",
+    "MAX_COMMANDS",
+    "MAX_LISTED_TASKS",
+    "MAX_PLACED_TASKS",
     "MAX_TASKS",
     "NO_LEASE",
     "PATH_COMMANDS",
--- a/quinceslip/quota/preemption.py
+++ b/quinceslip/quota/preemption.py
@@ -69,7 +69,8 @@
         self.spec = spec
         #: by worker name: free CPUs, GPUs and GB of memory
         self.free = {worker.name: worker.free() for worker in workers}
-        self.count = sum(self._tasks_that_fit(free) for free in self.free.values())
+        self._task_slots = {worker.name: worker.free_task_slots() for worker in workers}
+        self.count = sum(self._tasks_that_fit(name) for name in self.free)
         for worker in workers:
             for attempt in worker.live_attempts():
                 if attempt.stopping:
@@ -84,24 +85,26 @@
         self._change(attempt, -1)
 
     def _change(self, attempt: Attempt, factor: int) -> None:
-        before, spec = self.free.get(attempt.worker), attempt.spec
+        name, spec = attempt.worker, attempt.spec
+        before = self.free.get(name)
         if before is None:
             return
-        after = (
+        self.count -= self._tasks_that_fit(name)
+        self.free[name] = (
             before[0] + factor * spec.cpus,
             before[1] + factor * spec.gpus,
             before[2] + factor * spec.memory_gb,
         )
-        self.count += self._tasks_that_fit(after) - self._tasks_that_fit(before)
-        self.free[attempt.worker] = after
+        self._task_slots[name] += factor
+        self.count += self._tasks_that_fit(name)
 
-    def _tasks_that_fit(self, free: tuple[float, float, float]) -> int:
+    def _tasks_that_fit(self, name: str) -> int:
+        """Return how many tasks fit on a machine; negative if it is overcommitted."""
         needs = (self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
-        counts = [(available + EPSILON) // need for available, need in zip(free, needs, strict=True) if need > 0]
-        if not counts:
-            return self.spec.tasks
+        free = zip(self.free[name], needs, strict=True)
+        counts = [(available + EPSILON) // need for available, need in free if need > 0]
         # A tiny amount fits without limit, or overcommits a machine without limit: neither is a number of tasks.
-        return int(max(min(*counts, m.MAX_TASKS), -m.MAX_TASKS))
+        return int(max(min([*counts, self._task_slots[name]]), -m.MAX_TASKS))
 
 
 @dataclass(slots=True)
@@ -138,6 +141,7 @@
         #: by level: what is still lacking
         self.shortfall = dict(shortfall)
         self.machine_free = request.machine.free() if request.machine is not None else (0.0, 0.0, 0.0)
+        self.machine_slots = request.machine.free_task_slots() if request.machine is not None else 0
         self.chosen: list[Attempt] = []
         self._refused: set[VictimGroup] = set()  # groups that may not be preempted beside the victims chosen so far
 
@@ -156,7 +160,9 @@
         return self._machine_has_room()
 
     def _machine_has_room(self) -> bool:
-        return self.request.machine is None or fits(self.machine_free, self.request.spec)
+        if self.request.machine is None:
+            return True
+        return self.machine_slots > 0 and fits(self.machine_free, self.request.spec)
 
     def _candidates_in_order(self) -> Iterator[Attempt]:
         """Return the attempts that would help, on the machine of the request if it names one."""
@@ -188,6 +194,7 @@
             self.request.gang_capacity.add_freed(victim)
         free, spec = self.machine_free, victim.spec
         self.machine_free = (free[0] + spec.cpus, free[1] + spec.gpus, free[2] + spec.memory_gb)
+        self.machine_slots += 1
         for level in self.tree.path(spec.team):
             lacking = self.shortfall.get(level)
             if lacking is None:
