Attempts are counted by zone only for jobs whose zones depend on each other

Need: counting every attempt costs some processor time that only zone-bound jobs need. Change: JobSpec.zone_bound names such jobs; only their attempts are counted. Evidence: test_zone_counts and test_turn_work pass; no gain was measured.

--- a/quinceslip/coordination/scheduling/placement_pass.py
+++ b/quinceslip/coordination/scheduling/placement_pass.py
@@ -120,7 +120,7 @@
         if partition.spec.gang:
             if context.whole_shard:
                 self.gangs.place(context, partition, offered)
-        elif partition.spec.one_zone or partition.spec.spread:
+        elif partition.spec.zone_bound:
             self.zone_bound.place(context, partition, offered)
         else:
             self.independent.place(context, partition, offered)
--- a/quinceslip/coordination/scheduling/zone_constraints.py
+++ b/quinceslip/coordination/scheduling/zone_constraints.py
@@ -24,7 +24,7 @@
         self._spec = partition.spec
         self._running_by_zone: dict[str, int] = {}
         self.zones: set[str] | None = None  # None: any zone
-        if self._spec.one_zone or self._spec.spread:
+        if self._spec.zone_bound:
             self.zones = self._zones_now(state, partition, count_kept)
 
     @property
--- a/quinceslip/coordination/shard_state/partition.py
+++ b/quinceslip/coordination/shard_state/partition.py
@@ -85,7 +85,7 @@
         self.shape = (
             *self.constraints,
             spec.service,
-            spec.one_zone or spec.spread,
+            spec.zone_bound,
             spec.cpus,
             spec.gpus,
             spec.memory_gb,
--- a/quinceslip/coordination/shard_state/state.py
+++ b/quinceslip/coordination/shard_state/state.py
@@ -60,7 +60,7 @@
         self.queue_order: list[JobPartition] | None = None  # `queued` in order; None: to be sorted again
         self.attempts_by_job: dict[str, set[Attempt]] = {}  # attempts that may still be on machines
         self.kept_attempts: dict[Attempt, Worker] = {}  # of lost workers; another machine at the address may have them
-        self._live_zones = ZoneCounts()  # of the attempts that have not ended, kept ones included
+        self._live_zones = ZoneCounts()  # of the attempts of zone-bound jobs that have not ended, kept ones included
         self._kept_zones = ZoneCounts()  # of the kept ones among them
         self._ended_with_launch_in_flight: dict[str, set[Attempt]] = {}  # by job
         self.quota: QuotaPolicy | None = None  # None: quotas are disabled
@@ -75,7 +75,8 @@
             worker.attempts_changed()
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, 1)
-            self._live_zones.add(attempt, worker.zone)
+            if attempt.spec.zone_bound:
+                self._live_zones.add(attempt, worker.zone)
         self.attempts_by_job.setdefault(attempt.job_id, set()).add(attempt)
         if self.quota is not None:
             self.quota.attempt_added(attempt)
@@ -160,7 +161,8 @@
         worker.attempts_changed()
         if not attempt.end_cause:
             worker.add_usage(attempt.spec, -1)
-            self._kept_zones.add(attempt, worker.zone)
+            if attempt.spec.zone_bound:
+                self._kept_zones.add(attempt, worker.zone)
         self.kept_attempts[attempt] = worker
 
     def release_attempt(self, attempt: Attempt) -> None:
@@ -183,15 +185,17 @@
             worker.attempts_changed()
         self._live_zones.remove(attempt)
         self._kept_zones.remove(attempt)
-        if attempt in self.attempts_by_job.get(attempt.job_id, ()) and self._launch_in_flight(attempt):
+        if attempt.spec.zone_bound and self._may_still_arrive(attempt):
             self._ended_with_launch_in_flight.setdefault(attempt.job_id, set()).add(attempt)
         if self.quota is not None:
             self.quota.attempt_ended(worker, attempt)
 
-    def _launch_in_flight(self, attempt: Attempt) -> bool:
-        """Whether a launch of an attempt may still arrive at its worker."""
+    def _may_still_arrive(self, attempt: Attempt) -> bool:
+        """Whether an attempt is known and a launch of it may still arrive at its worker."""
         worker = self.worker_of(attempt)
-        return worker is not None and not self.launch_cannot_arrive(worker, attempt)
+        if worker is None or self.launch_cannot_arrive(worker, attempt):
+            return False
+        return attempt in self.attempts_by_job.get(attempt.job_id, ())
 
     def _forget_launch_in_flight(self, attempt: Attempt) -> None:
         attempts = self._ended_with_launch_in_flight.get(attempt.job_id)
@@ -209,7 +213,7 @@
         return not attempt.unanswered_call_token or worker.fencing_token > attempt.unanswered_call_token
 
     def possibly_running_by_zone(self, job_id: str, count_kept: bool = True) -> dict[str, int]:
-        """Return how many attempts of a job may be running or may still start, by zone; zones without any are left out.
+        """Return how many attempts of a zone-bound job may be running or may still start, by zone, if there are any.
 
         `count_kept=False` leaves out kept attempts. Costs no more for a job of many attempts than for one of few.
         """
--- a/quinceslip/protocol/messages/users.py
+++ b/quinceslip/protocol/messages/users.py
@@ -72,10 +72,15 @@
         """Whether the job is gang-scheduled: all of its tasks run at the same time or none does."""
         return self.kind == "group"
 
+    @property
+    def zone_bound(self) -> bool:
+        """Whether the zones of its tasks depend on each other."""
+        return self.spread or self.one_zone
+
     @property
     def indivisible(self) -> bool:
         """Whether all tasks stay in one shard, since they must start together or their zones depend on each other."""
-        return self.service or self.gang or self.spread or self.one_zone
+        return self.service or self.gang or self.zone_bound
 
     @property
     def priority(self) -> int:
