--- a/quinceslip/coordination/jobs/partition_loader.py
+++ b/quinceslip/coordination/jobs/partition_loader.py
@@ -85,7 +85,8 @@
         added = assigned - partition.assigned - done
         removed = partition.assigned - assigned
         newly_done = done - partition.done
-        partition.assigned, partition.done, partition.zones = assigned, done, set(record.zones)
+        partition.assigned, partition.done = assigned, done
+        self._apply_zones(partition, record)
         partition.unrecorded_done -= done
         if inherited:
             partition.unreconciled |= added
@@ -97,6 +98,16 @@
         if added or removed or partition.spec.indivisible or state.quota is not None:
             state.needs_placement = True
 
+    def _apply_zones(self, partition: JobPartition, record: PartitionRecord) -> None:
+        """Apply the zones of a record, without those that were given away as long as that may still take effect.
+
+        Guard: a shard that may have been given a zone places tasks there, and would not count those placed here.
+        """
+        key = self.ctx.cache.partition_record_key(self.state.index, partition.job_id)
+        if self.ctx.cache.mod_revision(key) > partition.released_revision:
+            partition.released_zones = set()
+        partition.zones = set(record.zones) - partition.released_zones
+
     def _forget_tasks(self, partition: JobPartition, indices: set[int]) -> None:
         """Stop waiting for tasks that are done, or that belong to another shard by now."""
         on_hold = partition.crash_loop.on_hold
--- a/quinceslip/coordination/jobs/partition_mover.py
+++ b/quinceslip/coordination/jobs/partition_mover.py
@@ -1,7 +1,7 @@
-"""Moves waiting tasks of a job from one shard's partition to another's, in one transaction."""
+"""Moves waiting tasks, or zones, of a job from one shard's partition to another's, in one transaction."""
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, NamedTuple
@@ -34,6 +34,10 @@
 )
 
 
+#: receives the status of a write and the keys whose conditions failed
+WriteHandler = Callable[[int, list[str]], None]
+
+
 class ZoneSplit(NamedTuple):
     """Zones for the tasks that stay in a partition, and for those that move; empty sets: any."""
 
@@ -109,6 +113,20 @@
         workers = (self.state.worker_of(attempt) for attempt in attempts)
         return {worker.zone for worker in workers if worker is not None}
 
+    def releasable_zones(self, partition: JobPartition) -> set[str]:
+        """Return the zones of a partition with zones of its own in which none of its tasks runs, may run or will run.
+
+        None if some of its tasks wait, or if their location is not known; at least one zone always stays.
+        """
+        if _is_unresolved(partition) or partition.pending or partition.spec.one_zone:
+            return set()
+        key = self.ctx.cache.partition_record_key(self.state.index, partition.job_id)
+        if partition.released_zones and self.ctx.cache.mod_revision(key) > partition.released_revision:
+            return set()  # the record has changed, and is about to be applied
+        unused = partition.zones | partition.released_zones
+        unused -= self.state.possibly_running_by_zone(partition.job_id).keys()
+        return unused - {max(partition.zones)} if unused >= partition.zones else unused
+
     # Moving them.
 
     def move(self, partition: JobPartition, indices: list[int], target: int, split: ZoneSplit | None = None) -> None:
@@ -132,11 +150,13 @@
         target_zones = split.moving
         if target_record.assigned and target_record.zones and split.moving:
             target_zones = split.moving | set(target_record.zones)
+        # Zones whose release has no known outcome stay recorded here, or they would belong to nobody.
+        staying_zones = split.staying | (partition.released_zones - split.moving) if split.staying else split.staying
         partitions = {
             self.state.index: PartitionRecord(
                 task_sets.encode(partition.assigned - moved),
                 task_sets.encode(partition.done | partition.unrecorded_done),
-                sorted(split.staying),
+                sorted(staying_zones),
             ),
             target: PartitionRecord(
                 task_sets.encode(task_sets.decode(target_record.assigned) | moved),
@@ -169,6 +189,36 @@
         partition.moving = True
         self.results.mark_dirty(partition.job_id)
 
+    def release_zones(self, partition: JobPartition, zones: set[str], target: int) -> None:
+        """Give zones in which no task of the partition can run to the partition of the shard `target`.
+
+        From now on no task is placed there, whatever becomes of the write: it may be carried out late.
+        """
+        job_id = partition.job_id
+        job = self.ctx.cache.job(job_id)
+        staying = partition.zones - zones
+        if job is None or job.state != m.QUEUED or not staying:
+            return
+        plan = self._plan(partition, job, set(), target, ZoneSplit(staying, zones))
+        if not self._is_recordable(plan):
+            return
+        key = self.ctx.cache.partition_record_key(self.state.index, job_id)
+        released_before = partition.released_zones
+        partition.zones, partition.released_zones = staying, released_before | zones
+        partition.released_revision = self.ctx.cache.mod_revision(key)
+        partition.moving = True
+
+        def on_written(status: int, failed: list[str]) -> None:
+            partition.moving = False
+            if status == HTTPStatus.OK:
+                log.info("zones released job=%s zones=%s shard=%d", job_id, ",".join(sorted(zones)), target)
+            elif status in NOT_APPLIED:
+                # Not those of an earlier write without an answer, which may still be carried out.
+                partition.zones |= zones - released_before
+                partition.released_zones = released_before
+
+        self._write_plan(partition, plan, on_written)
+
     def _write(self, partition: JobPartition, plan: MovePlan, target: int, moved_count: int) -> None:
         job_id = partition.job_id
 
@@ -181,7 +231,11 @@
                 self.state.add_pending(partition, indeterminate)
             # Otherwise the outcome is unknown: the tasks stay indeterminate until the record changes.
 
-        puts = plan.puts(job_id)
+        self._write_plan(partition, plan, on_written)
+
+    def _write_plan(self, partition: JobPartition, plan: MovePlan, on_written: WriteHandler) -> None:
+        """Write the records of a plan, provided that the leadership and all of them are unchanged."""
+        puts = plan.puts(partition.job_id)
         conditions = dict(self.state.election.fencing_condition(self.state.index))
         conditions.update((key, self.ctx.cache.mod_revision(key)) for key in puts)
         urgency = Urgency.USER if partition.spec.service else Urgency.BACKGROUND
--- a/quinceslip/coordination/jobs/persistence.py
+++ b/quinceslip/coordination/jobs/persistence.py
@@ -79,6 +79,14 @@
         """Return how a spread service may be split between two shards (`PartitionMover.split_zones`)."""
         return self.mover.split_zones(partition)
 
+    def releasable_zones(self, partition: JobPartition) -> set[str]:
+        """Return the zones that a partition could give to another shard's (`PartitionMover.releasable_zones`)."""
+        return self.mover.releasable_zones(partition)
+
+    def release_zones(self, partition: JobPartition, zones: set[str], target: int) -> None:
+        """Give zones to the partition of another shard (`PartitionMover.release_zones`)."""
+        self.mover.release_zones(partition, zones, target)
+
     def move(self, partition: JobPartition, indices: list[int], target: int, split: ZoneSplit | None = None) -> None:
         """Move waiting tasks to another shard (`PartitionMover.move`)."""
         self.mover.move(partition, indices, target, split)
--- a/quinceslip/coordination/jobs/result_writer.py
+++ b/quinceslip/coordination/jobs/result_writer.py
@@ -104,7 +104,8 @@
     def _record(self, partition: JobPartition, job: JobRecord, done: set[int]) -> JobRecord | PartitionRecord:
         """Return the record that contains the partition, with these tasks done: at the home shard that of the job."""
         self._encoded_tasks += len(partition.assigned) + len(done)
-        record = PartitionRecord(task_sets.encode(partition.assigned), task_sets.encode(done), sorted(partition.zones))
+        zones = sorted(partition.zones | partition.released_zones)
+        record = PartitionRecord(task_sets.encode(partition.assigned), task_sets.encode(done), zones)
         return msgspec.structs.replace(job, partition=record) if job.shard == self.state.index else record
 
     def _largest_fitting_record(self, partition: JobPartition, job: JobRecord) -> JobRecord | PartitionRecord | None:
--- a/quinceslip/coordination/load_balancing/load_balancer.py
+++ b/quinceslip/coordination/load_balancing/load_balancer.py
@@ -10,6 +10,7 @@
 from quinceslip.coordination.load_balancing.shard_loads import ShardLoadCollector
 from quinceslip.coordination.load_balancing.task_moves import TaskMover
 from quinceslip.coordination.load_balancing.workload_levels import WorkloadLevelSolver
+from quinceslip.coordination.load_balancing.zone_releases import ZoneReleaser
 from quinceslip.coordination.shard.shard import Shard
 from quinceslip.coordination.shard_state.partition import JobPartition
 from quinceslip.protocol import frames
@@ -33,6 +34,7 @@
         self.load_recorder = LoadRecorder(ctx, election, shards)
         self.level_solver = WorkloadLevelSolver(ctx)
         self.service_mover = ServiceMover(ctx, election, shards, self.peers)
+        self.zone_releaser = ZoneReleaser(ctx, shards, self.peers)
         self.task_mover = TaskMover(election, self.peers)
         self.next_record_us = ctx.now_us + SECOND
         self.next_levels_us = ctx.now_us + SECOND
@@ -109,6 +111,7 @@
             return
         for shard in self.shards.values():
             self.service_mover.move_from(shard)
+            self.zone_releaser.release_from(shard)
         free_slots = self.load_collector.collect().free_slots
         for shard in self.shards.values():
             self.task_mover.move_from(shard, free_slots)
--- a/quinceslip/coordination/shard/shard.py
+++ b/quinceslip/coordination/shard/shard.py
@@ -53,6 +53,7 @@
         self.silence_check = SilenceCheck(self)
         self.capacity = CapacityFigures(self)
         self.last_move_us: dict[str, int] = {}  # by job: when the load balancer last moved tasks to another shard
+        self.last_release_us: dict[str, int] = {}  # by job: when zones were last given to another shard
         self.next_deadline_order_us = 0
         self.registration.inherit_workers()
         for job_id in list(ctx.cache.open_jobs):
--- a/quinceslip/coordination/shard_state/partition.py
+++ b/quinceslip/coordination/shard_state/partition.py
@@ -59,6 +59,8 @@
     next_write_us: int = 0  # earliest time of the next write of its record
     next_result_us: int = 0  # earliest time of the next write of partial results
     zones: set[str] = field(default_factory=set)  # zones that its tasks may use; empty: all
+    released_zones: set[str] = field(default_factory=set)  # given to another shard's partition, as far as is known
+    released_revision: int = 0  # the record's revision when they were given; a later one shows the outcome
 
     # Deadline scheduling and ageing.
     due_us: list[int] = field(default_factory=list)  # due times set by users, by wall clock, earliest first
