--- a/quinceslip/coordination/autoscaling/capacity.py
+++ b/quinceslip/coordination/autoscaling/capacity.py
@@ -84,6 +84,8 @@
         #: the newest observation by controller and pool
         self.by_origin: dict[str, dict[MachinePool, DatedObservation]] = {}
         self.backoffs: dict[MachinePool, Backoff] = {}
+        #: by controller and pool: the backoff after its newest stockout, which may be in force again later
+        self._backoffs_by_origin: dict[tuple[str, MachinePool], Backoff] = {}
         self.has_unsent_observations = False  # there are observations not sent to peers yet
 
     # Own observations.
@@ -103,7 +105,7 @@
             return []
         own = self.by_origin.get(self.label, {})
         for pool in [pool for pool, known in own.items() if now_us - known.at_us > MAX_BACKOFF_US]:
-            del own[pool]
+            self._forget(self.label, pool)
         newest_first = sorted(own.values(), key=lambda known: -known.at_us)
         return [replace(known.observation, age_us=now_us - known.at_us) for known in newest_first]
 
@@ -132,7 +134,7 @@
                 continue
             by_pool[observation.kind] = received
             if len(by_pool) > MAX_POOLS_PER_PEER:
-                del by_pool[min(by_pool, key=lambda pool: by_pool[pool].at_us)]
+                self._forget(origin, min(by_pool, key=lambda pool: by_pool[pool].at_us))
             self._update_backoff(observation.kind, now_us)
 
     # Decisions.
@@ -164,17 +166,25 @@
 
     def _update_backoff(self, pool: MachinePool, now_us: int) -> None:
         """Recompute a pool's backoff from its latest stockout; there is none if capacity was observed since."""
-        previous = self.backoffs.pop(pool, None)
+        self.backoffs.pop(pool, None)
         latest = self._latest_stockout(pool)
         if latest is None:
             return
         origin, stockout = latest
         until_us = stockout.at_us + self.backoff_us(now_us) + self.stagger_us(origin)
-        if previous is not None and (previous.origin, previous.version) == (origin, stockout.version):
-            # Guard: received observations never extend a backoff.
+        previous = self._backoffs_by_origin.get((origin, pool))
+        if previous is not None and previous.version == stockout.version:
+            # Guard: received observations never extend a backoff, though one of another controller may have been the
+            # latest for a while.
             until_us = min(until_us, previous.until_us)
+        backoff = self._backoffs_by_origin[origin, pool] = Backoff(origin, stockout.version, until_us)
         if until_us > now_us:
-            self.backoffs[pool] = Backoff(origin, stockout.version, until_us)
+            self.backoffs[pool] = backoff
+
+    def _forget(self, origin: str, pool: MachinePool) -> None:
+        """Forget what a controller observed of a pool."""
+        del self.by_origin[origin][pool]
+        self._backoffs_by_origin.pop((origin, pool), None)
 
     def _latest_stockout(self, pool: MachinePool) -> tuple[str, DatedObservation] | None:
         """Return the latest stockout of the pool and its origin; None if a request was fully granted then or later."""
