A refused release of zones forgets nothing that an earlier one has changed meanwhile

Cause, found on reading the change once more: a release without an answer may be carried out late while a second one is in flight. The refusal of the second put back the zones noted as released before, although the record had changed and showed the outcome. A later write of the record would have listed a zone for both parts, and neither may use it then. Change: after a refusal the zones are taken back only while the record is unchanged. Evidence: the new test in test_zone_releases fails on the code before ({'c'} instead of nothing) and passes.

--- a/quinceslip/coordination/jobs/partition_mover.py
+++ b/quinceslip/coordination/jobs/partition_mover.py
@@ -205,15 +205,16 @@
         key = self.ctx.cache.partition_record_key(self.state.index, job_id)
         released_before = partition.released_zones
         partition.zones, partition.released_zones = staying, released_before | zones
-        partition.released_revision = self.ctx.cache.mod_revision(key)
+        revision = partition.released_revision = self.ctx.cache.mod_revision(key)
         partition.moving = True
 
         def on_written(status: int, failed: list[str]) -> None:
             partition.moving = False
             if status == HTTPStatus.OK:
                 log.info("zones released job=%s zones=%s shard=%d", job_id, ",".join(sorted(zones)), target)
-            elif status in NOT_APPLIED:
-                # Not those of an earlier write without an answer, which may still be carried out.
+            elif status in NOT_APPLIED and self.ctx.cache.mod_revision(key) <= revision:
+                # Not those of an earlier write without an answer, which may still be carried out. Once the record has
+                # changed, it shows what became of that one.
                 partition.zones |= zones - released_before
                 partition.released_zones = released_before
 
--- a/tests/test_zone_releases.py
+++ b/tests/test_zone_releases.py
@@ -1,5 +1,8 @@
 """Zones of a split service that are of no use to one part go to the part that waits beside a machine there."""
 
+from collections.abc import Callable
+
+import msgspec
 import pytest
 
 from quinceslip.coordination.shard.shard import Shard
@@ -104,3 +107,28 @@
     shard.persistence.load(SERVICE)
     assert partition.zones == {"b"}
     assert not shard.persistence.releasable_zones(partition), "one release at a time"
+
+
+def test_refused_second_release_forgets_nothing_that_a_late_first_one_changed(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: a zone that a late write has given away is recorded for both parts again, and neither may use it.
+    runner, _ = split_service()
+    shard = holder_of(runner, "c")
+    partition, target = shard.partitions[SERVICE], holder_of(runner, "a").index
+    handlers: list[Callable[[int, list[str]], None]] = []
+    monkeypatch.setattr(shard.ctx, "compare_and_swap", lambda *arguments: handlers.append(arguments[3]))
+    shard.persistence.release_zones(partition, {"c"}, target)
+    handlers[0](0, [])  # no answer
+    shard.persistence.release_zones(partition, {"c"}, target)
+    # The first write is carried out late, and the cache shows it.
+    cache, job = shard.ctx.cache, shard.ctx.cache.job(SERVICE)
+    own = cache.partition(shard.index, SERVICE)
+    assert own is not None
+    assert job is not None
+    given = msgspec.structs.replace(own, zones=["b"])
+    key = cache.partition_record_key(shard.index, SERVICE)
+    is_home = job.shard == shard.index
+    cache.store(key, msgspec.structs.replace(job, partition=given) if is_home else given, cache.mod_revision(key) + 1)
+    shard.persistence.load(SERVICE)
+    handlers[1](409, [key])
+    assert partition.released_zones == set()
+    assert partition.zones == {"b"}
